--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The administration and discovery API.
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a target: policies, admission, budgets and health.
--- /dev/null
+++ b/crates/catalog/src/lib.rs
@@ -0,0 +1,1 @@
+//! Documents in force, their confirmation and their edits.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! One running entry: settings, start, signals and stop.
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Probes of targets within the measuring budget.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links between entries and the view of their peers.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's table service, object store and instance list.
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data path between callers and targets.
--- /dev/null
+++ b/crates/test-support/src/bin/target-stand-in.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for targets, and fixtures for tests.
--- /dev/null
+++ b/crates/units/src/lib.rs
@@ -0,0 +1,12 @@
+//! Typed identifiers, sizes and rates that every package shares.
+//!
+//! Identifiers are checked strings; numbers carry their unit in the type. All
+//! of them implement `Display` and `FromStr`, and those two agree.
+
+mod name;
+mod number;
+
+pub use name::{Cell, Class, EditId, Fault, Instance, Region, Service, Target, Team, Zone};
+pub use number::{
+    ByteSize, Incarnation, Millis, ParseError, PerSecond, Percent, Revision, Version,
+};
--- /dev/null
+++ b/crates/units/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the identifiers and numbers.
+
+mod name;
+mod number;
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,20 @@
+//! Frames and codec of the protocol between entries.
+//!
+//! A [`Frame`] is the unit of exchange on a link. [`encode`] and [`decode`]
+//! turn it into the CBOR bytes of one WebSocket message and back.
+
+mod claim;
+mod codec;
+mod frame;
+mod query;
+mod status;
+
+pub use claim::{Attempt, Decision, Fingerprint, Key, KeyError, Recorded};
+pub use codec::{DecodeError, EncodeError, FRAME_LIMIT, decode, encode};
+pub use frame::{Evidence, Frame, Hello, Refusal, Sample};
+pub use query::{Answer, Copy, Query};
+pub use status::{Rate, Status};
+
+/// Protocol version that this build speaks. Raised with every change that an
+/// older build can't read.
+pub const PROTOCOL: u16 = 1;
--- /dev/null
+++ b/crates/wire/src/query.rs
@@ -0,0 +1,104 @@
+//! Questions between entries and their answers.
+
+use carobdrift_units::{Revision, Service, Version};
+use serde::{Deserialize, Serialize};
+
+use crate::claim::{Attempt, Decision, Fingerprint, Key, Recorded};
+
+/// A question to a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Query {
+    /// Asks for the document in force of a service.
+    Document {
+        /// The service.
+        service: Service,
+    },
+    /// Asks for the versions in force of all services.
+    Versions,
+    /// Asks the deciding entry for the right to run a request.
+    Claim {
+        /// Service of the request.
+        service: Service,
+        /// Idempotency key of the request.
+        key: Key,
+        /// The attempt that asks.
+        attempt: Attempt,
+        /// What the key was first used for.
+        fingerprint: Fingerprint,
+    },
+    /// Records the response of a claimed request.
+    Settle {
+        /// Idempotency key of the request.
+        key: Key,
+        /// The attempt that holds the claim.
+        attempt: Attempt,
+        /// The response, when it is small enough to be kept.
+        recorded: Option<Recorded>,
+    },
+    /// Gives a claim back, because the request was truly not run.
+    Release {
+        /// Idempotency key of the request.
+        key: Key,
+        /// The attempt that holds the claim.
+        attempt: Attempt,
+    },
+    /// Hands over an accepted document; answered by `Done` once it is in force.
+    Adopt {
+        /// The document.
+        copy: Copy,
+        /// Position in the change log that holds its version.
+        revision: Revision,
+    },
+    /// Asks the holder of a service's shard lease for a share of its limits.
+    Share {
+        /// The service.
+        service: Service,
+        /// Requests in flight that the asking entry wants to permit.
+        in_flight: u32,
+        /// Calls per second that the asking entry wants to permit.
+        per_second: u32,
+    },
+}
+
+/// Answer to a [`Query`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The document in force, or nothing when the peer holds none.
+    Document(Option<Copy>),
+    /// Versions in force.
+    Versions {
+        /// Position in the change log that these versions reach.
+        revision: Revision,
+        /// Version of each service.
+        versions: Vec<(Service, Version)>,
+    },
+    /// Decision on a claim.
+    Claim(Decision),
+    /// The settlement or the release was recorded, or the document is in force.
+    Done,
+    /// A share of the limits.
+    Share {
+        /// Requests in flight granted.
+        in_flight: u32,
+        /// Calls per second granted.
+        per_second: u32,
+        /// Milliseconds for which the grant holds, counted from the moment at
+        /// which the query was sent.
+        valid_ms: u64,
+    },
+    /// The peer does not hold the lease that the question is for.
+    NotHolder,
+    /// The peer can't answer the question now.
+    Unavailable,
+}
+
+/// Document of a service as held by a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copy {
+    /// The service.
+    pub service: Service,
+    /// Version of the document.
+    pub version: Version,
+    /// The document as canonical JSON.
+    pub body: String,
+}
--- /dev/null
+++ b/crates/wire/src/status.rs
@@ -0,0 +1,31 @@
+//! What an entry states of itself on every heartbeat.
+
+use carobdrift_units::{Millis, Revision, Service};
+use serde::{Deserialize, Serialize};
+
+/// State of an entry as carried by pings and pongs.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Newest position of the change log that the entry has in force.
+    pub revision: Revision,
+    /// Age of the entry's confirmation when the frame was sent; absent when it
+    /// was never confirmed.
+    pub confirmed: Option<Millis>,
+    /// Whether the entry's last call to the table service succeeded.
+    pub store_reachable: bool,
+    /// Whether the entry takes calls.
+    pub ready: bool,
+    /// Whether the entry is leaving.
+    pub leaving: bool,
+    /// Call rates of the busiest services.
+    pub rates: Vec<Rate>,
+}
+
+/// Call rate of one service at one entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rate {
+    /// The service.
+    pub service: Service,
+    /// Calls per second, averaged over the last seconds.
+    pub per_second: f64,
+}
--- /dev/null
+++ b/crates/wire/tests/all/codec.rs
@@ -0,0 +1,96 @@
+//! Guards against frames that change or are taken for others on the way.
+
+use carobdrift_units::{Millis, Revision, Version};
+use carobdrift_wire::{
+    Answer, Attempt, Decision, DecodeError, EncodeError, Evidence, FRAME_LIMIT, Fingerprint, Frame,
+    Query, Recorded, Status, decode, encode,
+};
+
+fn frames() -> Vec<Frame> {
+    vec![
+        Frame::Ping {
+            sequence: 7,
+            status: Status {
+                revision: Revision(3),
+                confirmed: Some(Millis(120)),
+                store_reachable: true,
+                ready: true,
+                leaving: false,
+                rates: Vec::new(),
+            },
+        },
+        Frame::Announce {
+            service: "sheets".parse().unwrap(),
+            version: Version(4),
+            revision: Revision(9),
+        },
+        Frame::Leaving {
+            service: "sheets".parse().unwrap(),
+            target: "sheets-1".parse().unwrap(),
+            evidence: Evidence::Response,
+            start: Some("a1".to_owned()),
+        },
+        Frame::Query {
+            request: 1,
+            query: Query::Claim {
+                service: "draws".parse().unwrap(),
+                key: "cd1.e1.5.0.ff.1".parse().unwrap(),
+                attempt: Attempt(u128::MAX),
+                fingerprint: Fingerprint(1),
+            },
+        },
+        Frame::Reply {
+            request: 1,
+            answer: Answer::Claim(Decision::AlreadyRun(Some(Recorded {
+                status: 201,
+                headers: vec![("location".to_owned(), b"/seedings/1".to_vec())],
+                body: b"{}".to_vec(),
+            }))),
+        },
+    ]
+}
+
+#[test]
+fn frames_survive_a_round_trip() {
+    for frame in frames() {
+        let bytes = encode(&frame).unwrap();
+
+        assert_eq!(decode(&bytes).unwrap(), frame);
+    }
+}
+
+#[test]
+fn truncated_frames_are_refused() {
+    for frame in frames() {
+        let bytes = encode(&frame).unwrap();
+        for end in 0..bytes.len() {
+            assert!(decode(&bytes[..end]).is_err(), "{frame:?} cut at {end}");
+        }
+    }
+}
+
+#[test]
+fn trailing_bytes_are_refused() {
+    let mut bytes = encode(&frames()[0]).unwrap();
+    bytes.push(0);
+
+    let decoded = decode(&bytes);
+
+    assert!(matches!(decoded, Err(DecodeError::Trailing(1))));
+}
+
+#[test]
+fn oversized_frames_are_refused_on_both_sides() {
+    let frame = Frame::Reply {
+        request: 1,
+        answer: Answer::Claim(Decision::AlreadyRun(Some(Recorded {
+            status: 200,
+            headers: Vec::new(),
+            body: vec![255; FRAME_LIMIT],
+        }))),
+    };
+
+    assert!(matches!(encode(&frame), Err(EncodeError::TooLarge(_))));
+    let decoded = decode(&vec![0; FRAME_LIMIT + 1]);
+    assert!(matches!(decoded, Err(DecodeError::TooLarge(_))));
+}
--- /dev/null
+++ b/crates/wire/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the frame codec.
+
+mod codec;
