Add the platform client

One handle for table service, object store and instance list. A transaction is sent once; a lost response ends as Unknown, because the write may have taken effect. Reads repeat within a bound, but not after a timeout, which already cost the caller the whole wait.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,16 @@
 //! Client of the platform's table service, object store and instance list.
+//!
+//! [`Client::open`] returns a handle that is cheap to clone. Every call has a
+//! timeout; calls that are safe to repeat are retried within a bound. A write
+//! whose response was lost ends as [`Error::Unknown`]; the caller resolves it by
+//! reading back a row that names its writer.
+
+mod client;
+mod error;
+mod instance;
+mod table;
+
+pub use client::{Client, Settings};
+pub use error::{Cause, Error};
+pub use instance::{Entry, Listed, State, Target};
+pub use table::{Commit, Condition, Conflict, Put, Row, Transaction};
