--- /dev/null
+++ b/crates/entry/src/settings/secret.rs
@@ -0,0 +1,38 @@
+//! Text that is never printed.
+
+use std::fmt;
+
+use serde::{Serialize, Serializer};
+
+/// What is shown in place of a secret.
+const REDACTED: &str = "<redacted>";
+
+/// A secret; `Debug` and `Serialize` show a fixed text in its place.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps a text.
+    #[must_use]
+    pub fn new(text: String) -> Self {
+        Self(text)
+    }
+
+    /// The secret itself.
+    #[must_use]
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(REDACTED)
+    }
+}
+
+impl Serialize for Secret {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(REDACTED)
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the settings of an entry.
+
+mod settings;
