Add rendezvous ranks and widen the status of an entry

A fresh entry that never reached the store states revision 0, which says nothing about what was accepted. Without a flag it would count towards the majority of an outage although its predecessor may have been the only member that a lost document and that majority had in common. Status therefore states whether the entry has recovered, and the size of the cell for entries that have read no instance list. Versions states whether the peer was up to date and which documents it can't parse.

--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod name;
 mod number;
+mod rendezvous;
 
 pub use name::{Cell, Class, EditId, Fault, Instance, Region, Service, Target, Team, Zone};
 pub use number::{
     ByteSize, Incarnation, Millis, ParseError, PerSecond, Percent, Revision, Version,
 };
+pub use rendezvous::rank;
--- a/crates/units/tests/all/main.rs
+++ b/crates/units/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod name;
 mod number;
+mod rendezvous;
--- a/crates/wire/src/query.rs
+++ b/crates/wire/src/query.rs
@@ -71,6 +71,12 @@
         revision: Revision,
         /// Version of each service.
         versions: Vec<(Service, Version)>,
+        /// Services whose version the peer can't parse and therefore does not
+        /// serve.
+        unreadable: Vec<Service>,
+        /// Whether the peer knew, when it answered, that these were the newest
+        /// versions.
+        current: bool,
     },
     /// Decision on a claim.
     Claim(Decision),
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -13,6 +13,12 @@
     pub confirmed: Option<Millis>,
     /// Whether the entry's last call to the table service succeeded.
     pub store_reachable: bool,
+    /// Whether the entry held every accepted document at some moment since its
+    /// start. Until then its revision says nothing about what was accepted.
+    pub recovered: bool,
+    /// Entries of the cell on the latest instance list that the entry read; 0
+    /// when it has read none.
+    pub cell_size: u32,
     /// Whether the entry takes calls.
     pub ready: bool,
     /// Whether the entry is leaving.
--- a/crates/wire/tests/all/codec.rs
+++ b/crates/wire/tests/all/codec.rs
@@ -14,11 +14,22 @@
                 revision: Revision(3),
                 confirmed: Some(Millis(120)),
                 store_reachable: true,
+                recovered: true,
+                cell_size: 15,
                 ready: true,
                 leaving: false,
                 rates: Vec::new(),
             },
         },
+        Frame::Reply {
+            request: 2,
+            answer: Answer::Versions {
+                revision: Revision(9),
+                versions: vec![("sheets".parse().unwrap(), Version(4))],
+                unreadable: vec!["sheets".parse().unwrap()],
+                current: true,
+            },
+        },
         Frame::Announce {
             service: "sheets".parse().unwrap(),
             version: Version(4),
