--- /dev/null
+++ b/crates/membership/src/listener.rs
@@ -0,0 +1,190 @@
+//! Connections that peers open to this entry.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carobdrift_wire::{Frame, Hello, Refusal, encode};
+use futures_util::StreamExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{sleep, timeout};
+
+use crate::error::LinkError;
+use crate::inbox::{Inbound, Reply};
+use crate::links::Shared;
+use crate::outbound::Outbound;
+use crate::socket::{HANDSHAKE_TIMEOUT, Sink, Stream, accept, receive, send_bytes, send_frame};
+
+/// Time without a frame after which a peer's connection is closed. Peers ping
+/// every 500 ms and replace a silent link after 2 s.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Connections that peers may have open at a time, several times the largest
+/// cell.
+const CONNECTION_LIMIT: usize = 256;
+
+/// Pause after a failed accept, which is usually a lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Accepts connections of peers until the links stop.
+pub(crate) async fn run(shared: Arc<Shared>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(CONNECTION_LIMIT));
+    let stopped = shared.stopped.clone();
+    let serve_all = async {
+        loop {
+            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+                return;
+            };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let shared = Arc::clone(&shared);
+                    tokio::spawn(async move {
+                        serve(&shared, stream).await;
+                        drop(permit);
+                    });
+                }
+                Err(error) => {
+                    log::warn!(target: "links", "can't accept a connection: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = serve_all => {}
+        () = stopped.cancelled() => {}
+    }
+}
+
+async fn serve(shared: &Arc<Shared>, stream: TcpStream) {
+    let opened = timeout(HANDSHAKE_TIMEOUT, open(shared, stream))
+        .await
+        .unwrap_or(Err(LinkError::HandshakeTimeout));
+    match opened {
+        Ok((sink, stream, hello)) => {
+            let error = keep(shared, sink, stream, &hello).await;
+            log::debug!(target: "links", "connection of {} closed: {error}", hello.instance);
+        }
+        Err(error) => {
+            shared.metrics.count_refusal(error.reason());
+            log::debug!(target: "links", "connection not admitted: {error}");
+        }
+    }
+}
+
+/// Upgrades a connection and exchanges introductions.
+async fn open(shared: &Shared, stream: TcpStream) -> Result<(Sink, Stream, Hello), LinkError> {
+    let socket = accept(stream, &shared.secret).await?;
+    let (mut sink, mut stream) = socket.split();
+    let Frame::Hello(hello) = receive(&mut stream).await?.0 else {
+        return Err(LinkError::Unexpected);
+    };
+    if let Some(refusal) = refuse(&shared.hello, &hello) {
+        log::warn!(target: "links", "refused a link of {}: {refusal}", hello.instance);
+        send_frame(&mut sink, &Frame::Refusal(refusal.clone())).await?;
+        return Err(LinkError::Refused(refusal));
+    }
+    send_frame(&mut sink, &Frame::Welcome(shared.hello.clone())).await?;
+    Ok((sink, stream, hello))
+}
+
+fn refuse(own: &Hello, theirs: &Hello) -> Option<Refusal> {
+    if theirs.protocol != own.protocol {
+        Some(Refusal::Protocol {
+            ours: own.protocol,
+            theirs: theirs.protocol,
+        })
+    } else if theirs.cell != own.cell {
+        Some(Refusal::Cell {
+            ours: own.cell.clone(),
+            theirs: theirs.cell.clone(),
+        })
+    } else if theirs.instance == own.instance {
+        Some(Refusal::Duplicate(own.instance.clone()))
+    } else {
+        None
+    }
+}
+
+/// Answers a peer until its connection fails.
+async fn keep(shared: &Arc<Shared>, sink: Sink, stream: Stream, hello: &Hello) -> LinkError {
+    if shared.roster.admit(hello) {
+        log::info!(target: "links", "{} introduced itself from {}", hello.instance, hello.peer);
+        shared.start_dialler(hello.instance.clone());
+    }
+    let (outbound, frames) = Outbound::open(hello.incarnation);
+    let outbound = Arc::new(outbound);
+    let error = tokio::select! {
+        error = write(shared, sink, frames) => error,
+        error = read(shared, stream, hello, &outbound) => error,
+        error = outbound.closing() => error,
+        () = shared.stopped.cancelled() => LinkError::Closed,
+    };
+    outbound.shut();
+    error
+}
+
+async fn write(shared: &Shared, mut sink: Sink, mut frames: mpsc::Receiver<Bytes>) -> LinkError {
+    while let Some(bytes) = frames.recv().await {
+        match send_bytes(&mut sink, bytes).await {
+            Ok(size) => shared.metrics.count_bytes("sent", size),
+            Err(error) => return error,
+        }
+    }
+    LinkError::Closed
+}
+
+async fn read(
+    shared: &Shared,
+    mut stream: Stream,
+    hello: &Hello,
+    outbound: &Arc<Outbound>,
+) -> LinkError {
+    loop {
+        let (frame, size) = match timeout(IDLE_TIMEOUT, receive(&mut stream)).await {
+            Ok(Ok(received)) => received,
+            Ok(Err(error)) => return error,
+            Err(_) => return LinkError::Silent(IDLE_TIMEOUT.as_millis()),
+        };
+        shared.metrics.count_bytes("received", size);
+        let reply = match &frame {
+            Frame::Ping { sequence, status } => {
+                shared.roster.note_revision(hello, status.revision);
+                // Taken after the ping arrived, so that the stated age holds
+                // from the moment at which the ping was sent.
+                let pong = Frame::Pong {
+                    sequence: *sequence,
+                    status: shared.status(),
+                };
+                let bytes = match encode(&pong) {
+                    Ok(bytes) => bytes,
+                    Err(error) => return error.into(),
+                };
+                if outbound.push(bytes.into()).is_err() {
+                    return LinkError::QueueFull;
+                }
+                continue;
+            }
+            Frame::Query { request, .. } => Some(Reply {
+                request: *request,
+                outbound: Arc::clone(outbound),
+                metrics: shared.metrics.clone(),
+            }),
+            Frame::Announce { .. } | Frame::Leaving { .. } | Frame::Sample(_) => None,
+            Frame::Hello(_)
+            | Frame::Welcome(_)
+            | Frame::Refusal(_)
+            | Frame::Pong { .. }
+            | Frame::Reply { .. } => return LinkError::Unexpected,
+        };
+        let inbound = Inbound {
+            from: hello.instance.clone(),
+            frame,
+            reply,
+        };
+        if shared.inbox.send(inbound).await.is_err() {
+            shared.metrics.drop_frame("inbound");
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/settings.rs
@@ -0,0 +1,59 @@
+//! Settings of the links.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use carobdrift_units::{Cell, Incarnation, Instance, Zone};
+use subtle::ConstantTimeEq;
+
+/// What the links of an entry need to know of the entry.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Instance id.
+    pub instance: Instance,
+    /// Incarnation of this process.
+    pub incarnation: Incarnation,
+    /// Cell of the entry.
+    pub cell: Cell,
+    /// Availability zone of the entry.
+    pub zone: Zone,
+    /// Address of the caller listener.
+    pub caller: SocketAddr,
+    /// Address of the administration API.
+    pub admin: SocketAddr,
+    /// Where the peer listener listens; port 0 takes a free port.
+    pub listen: SocketAddr,
+    /// Address at which peers reach the listener, when it differs from
+    /// `listen`; port 0 stands for the port that was bound.
+    pub advertise: Option<SocketAddr>,
+    /// Secret that admits links between the entries of the cell.
+    pub secret: Secret,
+}
+
+/// Secret of a cell; never printed.
+#[derive(Clone)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps a text of visible ASCII characters.
+    #[must_use]
+    pub fn new(text: String) -> Self {
+        Self(text)
+    }
+
+    /// The value of the `authorization` header field that presents the secret.
+    pub(crate) fn bearer(&self) -> String {
+        format!("Bearer {}", self.0)
+    }
+
+    /// Whether a header field presents this secret, compared in constant time.
+    pub(crate) fn admits(&self, authorization: &[u8]) -> bool {
+        self.bearer().as_bytes().ct_eq(authorization).into()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("<redacted>")
+    }
+}
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -5,6 +5,10 @@
 
 /// State of an entry as carried by pings and pongs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct Status {
     /// Newest position of the change log that the entry has in force.
     pub revision: Revision,
