Add the stand-in of the platform

Tests of every package that talks to the platform need a table service, object store and instance list whose faults can be set. The stand-in runs inside a test or as the program platform-stand-in; its control port sets faults, registers instances and shows reads and writes per second.

While refusing, the port stays bound without listening. Closing the socket altogether was ruled out, because another process could take the free port before the stand-in listens again.

A write that was received while slow takes effect even when its sender has given up, as it may in a real store. Requests taken while hanging have no effect when their sender leaves before the fault is cleared.

--- a/crates/test-support/src/bin/platform-stand-in.rs
+++ b/crates/test-support/src/bin/platform-stand-in.rs
@@ -1,3 +1,44 @@
-//! Placeholder.
+//! Runs the stand-in of the platform as a process.
 
-fn main() {}
+use std::net::SocketAddr;
+
+use carobdrift_test_support::platform::{Settings, StandIn};
+use clap::Parser;
+use eyre::WrapErr;
+use serde_json::json;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Stand-in of the platform. Prints one JSON line with its addresses once it
+/// listens, and runs until SIGTERM or SIGINT.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Address of the platform's service; port 0 takes a free one.
+    #[arg(long, env = "PLATFORM_ADDRESS", default_value = "127.0.0.1:0")]
+    address: SocketAddr,
+    /// Address of the control port; port 0 takes a free one.
+    #[arg(long, env = "PLATFORM_CONTROL", default_value = "127.0.0.1:0")]
+    control: SocketAddr,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let arguments = Arguments::parse();
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't listen for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't listen for SIGINT")?;
+    let stand_in = StandIn::bind(Settings {
+        address: arguments.address,
+        control: arguments.control,
+    })
+    .await
+    .wrap_err("can't listen")?;
+    let line = json!({
+        "address": stand_in.address(),
+        "control": stand_in.control_address(),
+    });
+    println!("{line}");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/test-support/src/platform.rs
@@ -0,0 +1,23 @@
+//! Stand-in of the platform: table service, object store and instance list,
+//! with faults that a test sets.
+//!
+//! [`StandIn::bind`] runs one inside the calling process; the program
+//! `platform-stand-in` runs one as a process of its own. Both have a control
+//! port, which [`Control`] speaks to.
+
+mod connection;
+mod control;
+mod count;
+mod fault;
+mod instance;
+mod service;
+mod stand_in;
+mod state;
+mod table;
+
+pub use control::{Control, Error};
+pub use count::{Counts, Second};
+pub use fault::{Down, Fault, Lose};
+pub use instance::{Kind, Listing, State};
+pub use stand_in::{Settings, StandIn};
+pub use table::Row;
--- /dev/null
+++ b/crates/test-support/src/platform/fault.rs
@@ -0,0 +1,67 @@
+//! Faults of the stand-in.
+
+use serde::{Deserialize, Serialize};
+
+/// The faults in force; setting one replaces all of them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Fault {
+    /// Whether the platform is out of service.
+    pub down: Down,
+    /// Milliseconds by which every call is delayed. A write that was received
+    /// takes effect after the delay even when its sender has gone.
+    pub slow_ms: u64,
+    /// Writes whose response is lost after the write took effect.
+    pub lose_writes: Lose,
+    /// Whether bodies of responses are cut in half.
+    pub malformed: bool,
+    /// Whether the instance list stays as it was when the fault was set.
+    pub stale_instances: bool,
+    /// Makes all connections silent that are open when the fault is set, for
+    /// the rest of their lives. Connections opened later work.
+    #[serde(skip_serializing)]
+    pub swallow_open: bool,
+}
+
+/// Whether the platform is out of service, and how that shows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Down {
+    /// It is in service.
+    #[default]
+    No,
+    /// Open connections are closed and new ones refused.
+    Refuse,
+    /// Requests are taken and not answered. One whose sender has gone before
+    /// the fault is cleared has no effect.
+    Hang,
+    /// Every request is answered with status 503.
+    Fail,
+}
+
+/// Writes whose response is lost.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Lose {
+    /// None.
+    #[default]
+    None,
+    /// The next writes that take effect, as many as stated.
+    Next(u32),
+    /// All until the fault is cleared.
+    All,
+}
+
+impl Lose {
+    /// Whether the response of the write that just took effect is lost.
+    pub(crate) fn take(&mut self) -> bool {
+        match self {
+            Self::None | Self::Next(0) => false,
+            Self::Next(left) => {
+                *left -= 1;
+                true
+            }
+            Self::All => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/platform/stand_in.rs
@@ -0,0 +1,253 @@
+//! The running stand-in and its listeners.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::platform::connection::Connection;
+use crate::platform::control::Control;
+use crate::platform::count::Counts;
+use crate::platform::fault::{Down, Fault};
+use crate::platform::instance::Listing;
+use crate::platform::service::{Unanswered, serve_control, serve_platform};
+use crate::platform::state::Shared;
+use crate::platform::table::Row;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Where the stand-in listens; port 0 takes a free one.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Address of the platform's service.
+    pub address: SocketAddr,
+    /// Address of the control port.
+    pub control: SocketAddr,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            address: free,
+            control: free,
+        }
+    }
+}
+
+/// A running stand-in of the platform; stops when dropped.
+#[derive(Debug)]
+pub struct StandIn {
+    address: SocketAddr,
+    control: SocketAddr,
+    shared: Arc<Shared>,
+    tasks: [JoinHandle<()>; 2],
+}
+
+impl StandIn {
+    /// Starts a stand-in on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound.
+    pub async fn bind(settings: Settings) -> io::Result<Self> {
+        let shared = Arc::new(Shared::new());
+        let reservation = reserve(settings.address)?;
+        let address = reservation.local_addr()?;
+        let listener = listen(address)?;
+        let control_listener = TcpListener::bind(settings.control).await?;
+        let control = control_listener.local_addr()?;
+        let tasks = [
+            tokio::spawn(run_platform(reservation, listener, Arc::clone(&shared))),
+            tokio::spawn(run_control(control_listener, Arc::clone(&shared))),
+        ];
+        Ok(Self {
+            address,
+            control,
+            shared,
+            tasks,
+        })
+    }
+
+    /// Address of the platform's service.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address of the control port.
+    #[must_use]
+    pub fn control_address(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// A client of the control port.
+    #[must_use]
+    pub fn control(&self) -> Control {
+        Control::new(self.control)
+    }
+
+    /// Replaces the faults and returns once they are in force.
+    pub async fn set_fault(&self, fault: Fault) {
+        self.shared.set_fault(fault).await;
+    }
+
+    /// Adds an instance to the list or replaces it there.
+    pub fn put_instance(&self, listing: Listing) {
+        let mut content = self.shared.content();
+        content.listings.insert(listing.identity(), listing);
+    }
+
+    /// Takes all instances with this id off the list.
+    pub fn remove_instance(&self, id: &str) {
+        let mut content = self.shared.content();
+        content.listings.retain(|_, listing| listing.id != id);
+    }
+
+    /// Reads a row past all faults and counts.
+    #[must_use]
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.shared.content().table.read(key)
+    }
+
+    /// Writes a row past all faults and counts.
+    pub fn put_row(&self, key: &str, value: Value) {
+        let mut content = self.shared.content();
+        content.table.write(key.to_owned(), Some(value));
+    }
+
+    /// Calls received so far.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.shared.content().counter.counts()
+    }
+
+    /// Connections accepted so far on the platform's port.
+    #[must_use]
+    pub fn accepted(&self) -> u64 {
+        self.shared.accepted.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for StandIn {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Binds without listening, which keeps the port for this process while
+/// connections to it are refused.
+fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = new_socket(address)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    reserve(address)?.listen(BACKLOG)
+}
+
+fn new_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    if address.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }
+}
+
+async fn run_platform(reservation: TcpSocket, listener: TcpListener, shared: Arc<Shared>) {
+    let mut faults = shared.watch_fault();
+    let mut listener = Some(listener);
+    let Ok(address) = reservation.local_addr() else {
+        return;
+    };
+    loop {
+        if let Some(listener) = listener.take() {
+            let mut connections = JoinSet::new();
+            shared.set_refusing(false);
+            tokio::select! {
+                () = accept(listener, &shared, &mut connections) => return,
+                down = faults.wait_for(|fault| fault.down == Down::Refuse) => {
+                    if down.is_err() {
+                        return;
+                    }
+                }
+            }
+            connections.shutdown().await;
+        }
+        shared.set_refusing(true);
+        let up = faults.wait_for(|fault| fault.down != Down::Refuse).await;
+        if up.is_err() {
+            return;
+        }
+        match listen(address) {
+            Ok(again) => listener = Some(again),
+            Err(error) => {
+                eprintln!("platform stand-in can't listen again on {address}: {error}");
+                return;
+            }
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, shared: &Arc<Shared>, connections: &mut JoinSet<()>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                eprintln!("platform stand-in can't accept: {error}");
+                return;
+            }
+        };
+        let number = shared.accepted.fetch_add(1, Ordering::SeqCst);
+        let connection = Connection::new(stream, number, Arc::clone(&shared.silent_below));
+        let shared = Arc::clone(shared);
+        connections.spawn(async move {
+            let service = service_fn(|request| {
+                let shared = Arc::clone(&shared);
+                async move {
+                    let response = serve_platform(shared, request).await?;
+                    Ok::<_, Unanswered>(response.map(Full::new))
+                }
+            });
+            // A connection that breaks concerns its client only.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(connection), service)
+                .await;
+        });
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn run_control(listener: TcpListener, shared: Arc<Shared>) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        connections.spawn(async move {
+            let service = service_fn(|request| {
+                let shared = Arc::clone(&shared);
+                async move {
+                    let response = serve_control(shared, request).await?;
+                    Ok::<_, Unanswered>(response.map(Full::new))
+                }
+            });
+            // A connection that breaks concerns its client only.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+        while connections.try_join_next().is_some() {}
+    }
+}
--- /dev/null
+++ b/crates/test-support/src/platform/state.rs
@@ -0,0 +1,106 @@
+//! Everything that the stand-in holds.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use crate::platform::count::Counter;
+use crate::platform::fault::{Down, Fault};
+use crate::platform::instance::{Kind, Listing};
+use crate::platform::table::Table;
+
+pub(crate) type Listings = BTreeMap<(Kind, String, String), Listing>;
+
+/// State shared by the connections of both ports.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    content: Mutex<Content>,
+    fault: watch::Sender<Fault>,
+    /// Whether the listener refuses connections at the moment.
+    refusing: watch::Sender<bool>,
+    /// Connections accepted so far; each one's number is the count before it.
+    pub(crate) accepted: AtomicU64,
+    /// Connections with a lower number are silent.
+    pub(crate) silent_below: Arc<AtomicU64>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Content {
+    pub(crate) table: Table,
+    pub(crate) objects: HashMap<String, Bytes>,
+    pub(crate) listings: Listings,
+    /// The list as it was when it was frozen.
+    pub(crate) frozen: Option<Listings>,
+    pub(crate) counter: Counter,
+}
+
+impl Shared {
+    pub(crate) fn new() -> Self {
+        Self {
+            content: Mutex::new(Content {
+                table: Table::default(),
+                objects: HashMap::new(),
+                listings: Listings::new(),
+                frozen: None,
+                counter: Counter::start(),
+            }),
+            fault: watch::Sender::new(Fault::default()),
+            refusing: watch::Sender::new(false),
+            accepted: AtomicU64::new(0),
+            silent_below: Arc::new(AtomicU64::new(0)),
+        }
+    }
+
+    pub(crate) fn content(&self) -> MutexGuard<'_, Content> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn fault(&self) -> Fault {
+        self.fault.borrow().clone()
+    }
+
+    pub(crate) fn watch_fault(&self) -> watch::Receiver<Fault> {
+        self.fault.subscribe()
+    }
+
+    pub(crate) fn set_refusing(&self, refusing: bool) {
+        self.refusing.send_replace(refusing);
+    }
+
+    /// Whether the response of a write that just took effect is lost.
+    pub(crate) fn lose_write(&self) -> bool {
+        let mut lost = false;
+        self.fault.send_if_modified(|fault| {
+            lost = fault.lose_writes.take();
+            lost
+        });
+        lost
+    }
+
+    /// Replaces the faults and returns once they are in force.
+    pub(crate) async fn set_fault(&self, mut fault: Fault) {
+        if std::mem::take(&mut fault.swallow_open) {
+            let accepted = self.accepted.load(Ordering::SeqCst);
+            self.silent_below.store(accepted, Ordering::SeqCst);
+        }
+        {
+            let mut content = self.content();
+            if !fault.stale_instances {
+                content.frozen = None;
+            } else if content.frozen.is_none() {
+                content.frozen = Some(content.listings.clone());
+            }
+        }
+        let refuse = fault.down == Down::Refuse;
+        self.fault.send_replace(fault);
+        // Fails only when the sender is gone, and `self` holds it.
+        let _ = self
+            .refusing
+            .subscribe()
+            .wait_for(|refusing| *refusing == refuse)
+            .await;
+    }
+}
--- /dev/null
+++ b/crates/test-support/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins.
+
+mod platform;
