Bound, count and test the calls to the platform

Contract tests run the client against the stand-in with one fault case per row. Faults of the client, fixed and now guarded against:

* Keys were put into paths as they are, so keys with '?', '#' or '%' met other rows.
They are escaped now.
* A transaction whose 200 had an unreadable body ended as Protocol, which reads like a refusal although the write took effect.
It ends as Unknown, as does any server error other than 503.
* Repeats of a read each had the whole timeout.
The timeout now covers the call with its repeats.
* After a timeout only that one connection was given up; each further silent connection in the pool cost another call its timeout.
A timeout now replaces the whole pool.
With the replacement disabled the test of silent connections fails.

Sending a timed-out read again on a new connection at once was ruled out: it doubles the reads of a slow store, and the next poll finds a new connection anyway.

Calls are counted by outcome, with a latency histogram per call.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,38 +4,40 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
-use rand::RngExt;
+use http::{Method, StatusCode};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 
 use crate::error::{Cause, Error};
 use crate::instance::Listed;
+use crate::metrics::{Call, Metrics};
 use crate::table::{Commit, Conflict, Row, Transaction};
+use crate::transport::Transport;
 
-/// Attempts of a call that is safe to repeat, the first included.
-const ATTEMPTS: u32 = 3;
-
-/// Longest pause before the first repeat; doubles with each further one.
-const BACKOFF: Duration = Duration::from_millis(20);
+/// Characters that are escaped in a key or name within a path.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'/')
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
 
 /// How to reach the platform.
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// Address of the platform's HTTP service.
     pub address: SocketAddr,
-    /// Time within which a call must be answered.
+    /// Time within which a call must be answered, its repeats included.
     pub timeout: Duration,
 }
 
 /// Client of the platform; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Client {
-    settings: Settings,
-    http: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+    transport: Transport,
+    metrics: Option<Metrics>,
 }
 
 #[derive(Deserialize)]
@@ -57,13 +59,19 @@
     /// Opens a client; connections are opened on demand.
     #[must_use]
     pub fn open(settings: Settings) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(settings.timeout));
-        connector.set_nodelay(true);
-        let http = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(Duration::from_secs(10))
-            .build(connector);
-        Self { settings, http }
+        Self {
+            transport: Transport::open(settings),
+            metrics: None,
+        }
+    }
+
+    /// The same client, counting its calls.
+    #[must_use]
+    pub fn with_metrics(self, metrics: Metrics) -> Self {
+        Self {
+            metrics: Some(metrics),
+            ..self
+        }
     }
 
     /// Reads a row; `None` when it is absent.
@@ -72,29 +80,37 @@
     ///
     /// Fails when the platform can't be reached or misbehaves.
     pub async fn read(&self, key: &str) -> Result<Option<Row>, Error> {
-        let (status, body) = self
-            .repeat(Method::GET, &format!("/table/rows/{key}"))
-            .await?;
-        match status {
-            StatusCode::OK => parse(&body).map(Some),
-            StatusCode::NOT_FOUND => Ok(None),
-            other => Err(unexpected(other)),
-        }
+        let path = format!("/table/rows/{}", escape(key));
+        self.observe(Call::Read, async {
+            match self.get(&path).await? {
+                (StatusCode::OK, body) => parse(&body).map(Some),
+                (StatusCode::NOT_FOUND, _) => Ok(None),
+                (other, _) => Err(unexpected(other)),
+            }
+        })
+        .await
     }
 
     /// Reads at most `limit` rows whose keys start with `prefix` and follow
-    /// `after`, in key order.
+    /// `after`, in key order. The platform may return fewer than `limit`; only
+    /// an empty answer means that no row is left.
     ///
     /// # Errors
     ///
     /// Fails when the platform can't be reached or misbehaves.
     pub async fn scan(&self, prefix: &str, after: &str, limit: u32) -> Result<Vec<Row>, Error> {
-        let path = format!("/table/scan?prefix={prefix}&after={after}&limit={limit}");
-        let (status, body) = self.repeat(Method::GET, &path).await?;
-        match status {
-            StatusCode::OK => parse::<Rows>(&body).map(|answer| answer.rows),
-            other => Err(unexpected(other)),
-        }
+        let path = format!(
+            "/table/scan?prefix={}&after={}&limit={limit}",
+            escape(prefix),
+            escape(after)
+        );
+        self.observe(Call::Scan, async {
+            match self.get(&path).await? {
+                (StatusCode::OK, body) => parse::<Rows>(&body).map(|answer| answer.rows),
+                (other, _) => Err(unexpected(other)),
+            }
+        })
+        .await
     }
 
     /// Runs a transaction. It is sent once only.
@@ -102,35 +118,40 @@
     /// # Errors
     ///
     /// [`Error::Conflict`] when a condition did not hold, [`Error::Unknown`]
-    /// when it may have taken effect.
+    /// when it may have taken effect; otherwise it did not.
     pub async fn transact(&self, transaction: &Transaction) -> Result<Commit, Error> {
         let body = serde_json::to_vec(transaction)
             .map_err(|error| Error::Protocol(Cause::Malformed(error)))?;
-        let (status, body) = self
-            .call(Method::POST, "/table/transact", Bytes::from(body))
-            .await
-            .map_err(unknown_once_sent)?;
-        match status {
-            StatusCode::OK => parse(&body),
-            StatusCode::CONFLICT => Err(Error::Conflict(parse::<Conflicts>(&body)?.conflicts)),
-            other => Err(unexpected(other)),
-        }
+        self.observe(Call::Transact, async {
+            let (status, body) = self
+                .write(Method::POST, "/table/transact", body.into())
+                .await?;
+            match status {
+                // The status says that it took effect, so a body that can't be
+                // read must not look like a refusal.
+                StatusCode::OK => serde_json::from_slice(&body)
+                    .map_err(|error| Error::Unknown(Cause::Malformed(error))),
+                StatusCode::CONFLICT => Err(Error::Conflict(parse::<Conflicts>(&body)?.conflicts)),
+                other => Err(refused(other)),
+            }
+        })
+        .await
     }
 
-    /// Writes a whole object.
+    /// Writes a whole object. It is sent once only.
     ///
     /// # Errors
     ///
-    /// Fails when the platform can't be reached or misbehaves.
+    /// [`Error::Unknown`] when it may have taken effect; otherwise it did not.
     pub async fn put_object(&self, name: &str, body: Bytes) -> Result<(), Error> {
-        let (status, _) = self
-            .call(Method::PUT, &format!("/objects/{name}"), body)
-            .await
-            .map_err(unknown_once_sent)?;
-        match status {
-            StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => Ok(()),
-            other => Err(unexpected(other)),
-        }
+        let path = format!("/objects/{}", escape(name));
+        self.observe(Call::PutObject, async {
+            match self.write(Method::PUT, &path, body).await?.0 {
+                StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => Ok(()),
+                other => Err(refused(other)),
+            }
+        })
+        .await
     }
 
     /// Reads a whole object; `None` when it is absent.
@@ -139,14 +160,15 @@
     ///
     /// Fails when the platform can't be reached or misbehaves.
     pub async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Error> {
-        let (status, body) = self
-            .repeat(Method::GET, &format!("/objects/{name}"))
-            .await?;
-        match status {
-            StatusCode::OK => Ok(Some(body)),
-            StatusCode::NOT_FOUND => Ok(None),
-            other => Err(unexpected(other)),
-        }
+        let path = format!("/objects/{}", escape(name));
+        self.observe(Call::GetObject, async {
+            match self.get(&path).await? {
+                (StatusCode::OK, body) => Ok(Some(body)),
+                (StatusCode::NOT_FOUND, _) => Ok(None),
+                (other, _) => Err(unexpected(other)),
+            }
+        })
+        .await
     }
 
     /// Reads the instance list, which may lag.
@@ -155,69 +177,78 @@
     ///
     /// Fails when the platform can't be reached or misbehaves.
     pub async fn instances(&self) -> Result<Vec<Listed>, Error> {
-        let (status, body) = self.repeat(Method::GET, "/instances").await?;
-        match status {
-            StatusCode::OK => parse::<Instances>(&body).map(|answer| answer.instances),
-            other => Err(unexpected(other)),
-        }
+        self.observe(Call::Instances, async {
+            match self.get("/instances").await? {
+                (StatusCode::OK, body) => parse::<Instances>(&body).map(|answer| answer.instances),
+                (other, _) => Err(unexpected(other)),
+            }
+        })
+        .await
     }
 
-    async fn repeat(&self, method: Method, path: &str) -> Result<(StatusCode, Bytes), Error> {
-        let mut backoff = BACKOFF;
-        for _ in 1..ATTEMPTS {
-            match self.call(method.clone(), path, Bytes::new()).await {
-                Ok((status, _)) if status.is_server_error() => {}
-                Err(Cause::Connection(_) | Cause::Body(_)) => {}
-                // A timeout already cost the whole time that a caller waits.
-                Ok(answer) => return Ok(answer),
-                Err(cause) => return Err(Error::Unavailable(cause)),
-            }
-            let pause = rand::rng().random_range(Duration::ZERO..backoff);
-            tokio::time::sleep(pause).await;
-            backoff *= 2;
-        }
-        self.call(method, path, Bytes::new())
-            .await
-            .map_err(Error::Unavailable)
+    async fn get(&self, path: &str) -> Result<(StatusCode, Bytes), Error> {
+        let answer = self.transport.repeat(Method::GET, path).await;
+        answer.map_err(Error::Unavailable)
     }
 
-    async fn call(
+    async fn write(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), Cause> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.settings.address))
-            .body(Full::new(body))?;
-        let exchange = async {
-            let response = self.http.request(request).await?;
-            let status = response.status();
-            let body = response.into_body().collect().await?.to_bytes();
-            Ok((status, body))
-        };
-        // Dropping the exchange closes its connection, so a connection that
-        // went silent is not used again.
-        tokio::time::timeout(self.settings.timeout, exchange)
-            .await
-            .unwrap_or(Err(Cause::TimedOut(self.settings.timeout.as_millis())))
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let answer = self.transport.send(method, path, body).await;
+        answer.map_err(unknown_once_sent)
     }
+
+    async fn observe<T>(
+        &self,
+        call: Call,
+        running: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let start = Instant::now();
+        let result = running.await;
+        if let Some(metrics) = &self.metrics {
+            metrics.observe(call, result.as_ref().err(), start.elapsed());
+        }
+        if let Err(error) = &result {
+            log::debug!(target: "platform", "call {call} failed: {error}");
+        }
+        result
+    }
+}
+
+fn escape(text: &str) -> String {
+    utf8_percent_encode(text, ESCAPED).to_string()
 }
 
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
     serde_json::from_slice(body).map_err(|error| Error::Protocol(Cause::Malformed(error)))
 }
 
+/// Failure of a read that was answered with this status.
 fn unexpected(status: StatusCode) -> Error {
     let cause = Cause::Status(status.as_u16());
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    if status.is_server_error() {
         Error::Unavailable(cause)
     } else {
         Error::Protocol(cause)
     }
 }
 
+/// Failure of a write that was answered with this status. Only 503 and the
+/// client errors say that nothing was written.
+fn refused(status: StatusCode) -> Error {
+    let cause = Cause::Status(status.as_u16());
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        Error::Unavailable(cause)
+    } else if status.is_client_error() {
+        Error::Protocol(cause)
+    } else {
+        Error::Unknown(cause)
+    }
+}
+
 fn unknown_once_sent(cause: Cause) -> Error {
     match &cause {
         Cause::Connection(error) if error.is_connect() => Error::Unavailable(cause),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,9 +8,12 @@
 mod client;
 mod error;
 mod instance;
+mod metrics;
 mod table;
+mod transport;
 
 pub use client::{Client, Settings};
 pub use error::{Cause, Error};
 pub use instance::{Entry, Listed, State, Target};
+pub use metrics::Metrics;
 pub use table::{Commit, Condition, Conflict, Put, Row, Transaction};
--- /dev/null
+++ b/crates/platform/tests/all/fixture.rs
@@ -0,0 +1,39 @@
+//! A stand-in with a client of it.
+
+use std::time::Duration;
+
+use carobdrift_platform::{Client, Condition, Put, Settings, Transaction};
+use carobdrift_test_support::platform::{self, StandIn};
+use serde_json::{Value, json};
+
+pub(crate) const TIMEOUT: Duration = Duration::from_millis(300);
+
+pub(crate) async fn start() -> (StandIn, Client) {
+    let stand_in = StandIn::bind(platform::Settings::default()).await.unwrap();
+    let client = Client::open(Settings {
+        address: stand_in.address(),
+        timeout: TIMEOUT,
+    });
+    (stand_in, client)
+}
+
+/// Writes `value` to the row if it has the version.
+pub(crate) fn put(key: &str, version: u64, value: Value) -> Transaction {
+    Transaction {
+        id: "t".to_owned(),
+        conditions: vec![Condition {
+            key: key.to_owned(),
+            version,
+        }],
+        puts: vec![Put {
+            key: key.to_owned(),
+            value,
+        }],
+        deletes: Vec::new(),
+    }
+}
+
+/// Writes 1 to the absent row `a`.
+pub(crate) fn create() -> Transaction {
+    put("a", 0, json!(1))
+}
--- /dev/null
+++ b/crates/platform/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Contract tests of the client against the stand-in of the platform.
+
+mod fault;
+mod fixture;
+mod table;
