--- /dev/null
+++ b/crates/test-support/src/caller.rs
@@ -0,0 +1,305 @@
+//! A caller: asks which entries to use, connects there, checks its answers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use thiserror::Error;
+
+/// Header that carries a caller's token; targets repeat it in their answer.
+pub const TOKEN_HEADER: &str = "x-caller-token";
+
+/// Time within which the discovery API must answer.
+const ADDRESS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time that a caller grants beyond the deadline of its request.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Why a call ended without an answer.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// No administration address answered.
+    #[error("no entry answered which addresses to use")]
+    NoAddress,
+    /// The connection to the entry could not be opened; nothing was sent.
+    #[error("entry {0} refused the connection")]
+    Connect(SocketAddr),
+    /// The connection broke or stayed silent after the request was sent.
+    #[error("entry {0} gave no whole answer")]
+    Broken(SocketAddr),
+    /// The request is malformed.
+    #[error("malformed request: {0}")]
+    Request(#[from] http::Error),
+}
+
+/// What a call asks for.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Service.
+    pub service: String,
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Deadline that is passed to the entry.
+    pub deadline: Duration,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Time from the first byte sent to the last one received.
+    pub latency: Duration,
+    /// Entry that answered.
+    pub entry: SocketAddr,
+    /// Whether the answer carries the token of this call. Answers that the
+    /// system itself gives carry none.
+    pub own: Option<bool>,
+}
+
+impl Answer {
+    /// The outcome that the system states, when the answer is its own.
+    #[must_use]
+    pub fn outcome(&self) -> Option<&str> {
+        self.headers.get("carobdrift-outcome")?.to_str().ok()
+    }
+
+    /// The reason that the system states, when the answer is its own.
+    #[must_use]
+    pub fn reason(&self) -> Option<&str> {
+        self.headers.get("carobdrift-reason")?.to_str().ok()
+    }
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct Addresses {
+    #[serde(rename = "addresses")]
+    listed: Vec<Listed>,
+    ttl_ms: u64,
+    key_prefix: Option<String>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct Listed {
+    address: SocketAddr,
+}
+
+#[derive(Debug, Clone)]
+struct Cached {
+    addresses: Addresses,
+    until: Instant,
+}
+
+/// A caller in one availability zone; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    zone: String,
+    discovery: Vec<SocketAddr>,
+    http: Client<HttpConnector, Full<Bytes>>,
+    cache: Mutex<HashMap<String, Cached>>,
+    sequence: AtomicU64,
+}
+
+impl Caller {
+    /// Opens a caller that asks the given administration addresses in turn.
+    #[must_use]
+    pub fn open(zone: &str, discovery: Vec<SocketAddr>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(500)));
+        let http = Client::builder(TokioExecutor::new()).build(connector);
+        Self {
+            shared: Arc::new(Shared {
+                zone: zone.to_owned(),
+                discovery,
+                http,
+                cache: Mutex::new(HashMap::new()),
+                sequence: AtomicU64::new(rand::random::<u32>().into()),
+            }),
+        }
+    }
+
+    /// A fresh idempotency key under the prefix that the system issued.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no entry answers.
+    pub async fn key(&self, service: &str) -> Result<Option<String>, Error> {
+        let addresses = self.addresses(service).await?;
+        let number = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
+        Ok(addresses
+            .key_prefix
+            .map(|prefix| format!("{prefix}.{number}")))
+    }
+
+    /// Addresses to use for a service, in order.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no entry answers.
+    pub async fn entries(&self, service: &str) -> Result<Vec<SocketAddr>, Error> {
+        let addresses = self.addresses(service).await?;
+        Ok(addresses
+            .listed
+            .iter()
+            .map(|listed| listed.address)
+            .collect())
+    }
+
+    /// Sends a call to the first entry that takes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no entry gives a whole answer; the request may have run
+    /// unless the failure says that nothing was sent.
+    pub async fn send(&self, call: &Call) -> Result<Answer, Error> {
+        let mut last = Error::NoAddress;
+        for entry in self.entries(&call.service).await? {
+            match self.send_to(entry, call).await {
+                Err(error @ Error::Connect(_)) => {
+                    self.forget(&call.service);
+                    last = error;
+                }
+                other => return other,
+            }
+        }
+        Err(last)
+    }
+
+    /// Sends a call to a given entry.
+    ///
+    /// # Errors
+    ///
+    /// See [`Caller::send`].
+    pub async fn send_to(&self, entry: SocketAddr, call: &Call) -> Result<Answer, Error> {
+        let number = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
+        let token = format!("{}-{number}-{:x}", self.shared.zone, rand::random::<u64>());
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(format!("http://{entry}{}", call.path))
+            .header(http::header::HOST, &call.service)
+            .header(TOKEN_HEADER, &token)
+            .header(
+                "carobdrift-deadline-ms",
+                call.deadline.as_millis().to_string(),
+            );
+        if let Some(key) = &call.key {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request.body(Full::new(call.body.clone()))?;
+        let start = Instant::now();
+        let exchange = async {
+            let response = self.shared.http.request(request).await.map_err(|error| {
+                if error.is_connect() {
+                    Error::Connect(entry)
+                } else {
+                    Error::Broken(entry)
+                }
+            })?;
+            let (head, body) = response.into_parts();
+            let body = body
+                .collect()
+                .await
+                .map_err(|_| Error::Broken(entry))?
+                .to_bytes();
+            Ok((head, body))
+        };
+        let (head, body) = tokio::time::timeout(call.deadline + GRACE, exchange)
+            .await
+            .unwrap_or(Err(Error::Broken(entry)))?;
+        let own = head
+            .headers
+            .get(TOKEN_HEADER)
+            .map(|found| found.as_bytes() == token.as_bytes());
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+            latency: start.elapsed(),
+            entry,
+            own,
+        })
+    }
+
+    /// Drops the remembered address answer of a service.
+    pub fn forget(&self, service: &str) {
+        self.cache().remove(service);
+    }
+
+    async fn addresses(&self, service: &str) -> Result<Addresses, Error> {
+        if let Some(cached) = self.cache().get(service)
+            && cached.until > Instant::now()
+        {
+            return Ok(cached.addresses.clone());
+        }
+        let offset = rand::random::<u32>() as usize;
+        let count = self.shared.discovery.len();
+        for step in 0..count {
+            let admin = self.shared.discovery[(offset + step) % count];
+            if let Some(addresses) = self.ask(admin, service).await {
+                let until = Instant::now() + Duration::from_millis(addresses.ttl_ms);
+                let cached = Cached {
+                    addresses: addresses.clone(),
+                    until,
+                };
+                self.cache().insert(service.to_owned(), cached);
+                return Ok(addresses);
+            }
+        }
+        Err(Error::NoAddress)
+    }
+
+    async fn ask(&self, admin: SocketAddr, service: &str) -> Option<Addresses> {
+        let zone = &self.shared.zone;
+        let uri = format!("http://{admin}/v1/addresses?service={service}&zone={zone}");
+        let request = Request::get(uri).body(Full::default()).ok()?;
+        let exchange = async {
+            let response = self.shared.http.request(request).await.ok()?;
+            if response.status() != StatusCode::OK {
+                return None;
+            }
+            response
+                .into_body()
+                .collect()
+                .await
+                .ok()
+                .map(http_body_util::Collected::to_bytes)
+        };
+        let body = tokio::time::timeout(ADDRESS_TIMEOUT, exchange)
+            .await
+            .ok()??;
+        let addresses: Addresses = serde_json::from_slice(&body).ok()?;
+        (!addresses.listed.is_empty()).then_some(addresses)
+    }
+
+    fn cache(&self) -> std::sync::MutexGuard<'_, HashMap<String, Cached>> {
+        self.shared
+            .cache
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
