--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -3,13 +3,21 @@
 //! [`Document::parse`] turns the JSON that an operator wrote into a
 //! [`Document`] or a [`Rejection`] that names every fault by its path. Defaults
 //! are filled in at that point, so what a read shows is what runs.
+//! [`Document::check`] compares an accepted document with the [`Ceilings`] of
+//! the installation.
 
+mod ceilings;
+mod fault;
 mod model;
 mod parse;
+mod pattern;
 mod route;
+mod structure;
+mod validate;
 
+pub use ceilings::Ceilings;
+pub use fault::{Fault, Rejection};
 pub use model::{
     Balancing, Bodies, Class, Connections, Document, Endpoint, Hedging, Keys, Kind, Limits,
     Measuring, Policy, Retries, Route, State, Steering,
 };
-pub use parse::{Fault, Rejection};
--- a/crates/document/src/parse.rs
+++ b/crates/document/src/parse.rs
@@ -1,33 +1,12 @@
-//! Parsing and validation.
-
-use std::fmt;
-
-use thiserror::Error;
+//! Parsing and the canonical form.
 
+use crate::fault::{Faults, Rejection};
 use crate::model::Document;
+use crate::{structure, validate};
 
-/// One fault of a document.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Fault {
-    /// Path of the faulty value, such as `targets[3].slots`.
-    pub path: String,
-    /// What is wrong with it.
-    pub problem: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.problem)
-    }
-}
-
-/// A document with at least one fault.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("the document has {} fault(s)", faults.len())]
-pub struct Rejection {
-    /// All faults that were found.
-    pub faults: Vec<Fault>,
-}
+/// Largest document in bytes. A document travels in one frame between entries
+/// (4 MiB) and in one row of the platform's table.
+const DOCUMENT_LIMIT: usize = 1024 * 1024;
 
 impl Document {
     /// Parses and validates a document.
@@ -36,12 +15,33 @@
     ///
     /// Returns every fault with its path.
     pub fn parse(bytes: &[u8]) -> Result<Self, Rejection> {
-        let mut deserializer = serde_json::Deserializer::from_slice(bytes);
-        serde_path_to_error::deserialize(&mut deserializer).map_err(|error| Rejection {
-            faults: vec![Fault {
-                path: error.path().to_string(),
-                problem: error.inner().to_string(),
-            }],
-        })
+        let mut faults = Faults::default();
+        if bytes.len() > DOCUMENT_LIMIT {
+            let problem = format!(
+                "must be at most {DOCUMENT_LIMIT} bytes long, not {}",
+                bytes.len()
+            );
+            faults.add("document", problem);
+            faults.finish()?;
+        }
+        let (document, mut faults) = structure::read(bytes);
+        let Some(document) = document else {
+            faults.finish()?;
+            return Err(Rejection { faults: Vec::new() });
+        };
+        let found = validate::examine(&document, &faults);
+        faults.extend_unless_known(found);
+        faults.finish()?;
+        Ok(document)
+    }
+
+    /// The canonical JSON form: fields in a fixed order, every default shown.
+    ///
+    /// [`Document::parse`] turns it into an equal document.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        // Serialization of the model can't fail: its map keys are strings and
+        // its numbers are finite.
+        serde_json::to_string(self).unwrap_or_default()
     }
 }
