--- /dev/null
+++ b/crates/replay/src/lib.rs
@@ -0,0 +1,3 @@
+//! Replays traces against real entries and measures them.
+
+pub mod trace;
