--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -3,4 +3,5 @@
 //! Nothing that ships depends on this package.
 
 pub mod caller;
+pub mod platform;
 pub mod process;
