Add the stand-in of a target

Tests of the data path and of balancing need targets that misbehave on request and whose own record says what ran. The stand-in runs as a library, so that several fit into one process, and as a program with a control port.

--- a/crates/test-support/src/bin/target-stand-in.rs
+++ b/crates/test-support/src/bin/target-stand-in.rs
@@ -1,3 +1,83 @@
-//! Placeholder.
+//! Stand-in of a target as a program.
 
-fn main() {}
+use std::net::SocketAddr;
+
+use carobdrift_test_support::target::{Faults, Noise, ServiceTime, Settings, StandIn};
+use clap::Parser;
+
+/// Serves requests as a target does, with faults on request.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Name that it states in its responses.
+    #[arg(long, default_value = "target")]
+    name: String,
+    /// Address of the service listener.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    address: SocketAddr,
+    /// Address of the control port.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    control: SocketAddr,
+    /// Requests that it executes at a time.
+    #[arg(long, default_value_t = 2)]
+    slots: u32,
+    /// Mean service time in milliseconds.
+    #[arg(long, default_value_t = 10.0)]
+    mean_ms: f64,
+    /// Standard deviation of the logarithm of the service time.
+    #[arg(long, default_value_t = 0.5)]
+    sigma: f64,
+    /// Factor by which a noisy neighbour slows it down.
+    #[arg(long, requires = "noise_ms")]
+    noise_factor: Option<f64>,
+    /// Length of a burst of the noisy neighbour in milliseconds.
+    #[arg(long, requires = "noise_factor")]
+    noise_ms: Option<f64>,
+    /// Share of the time in which the noisy neighbour is busy.
+    #[arg(long, default_value_t = 0.08)]
+    noise_share: f64,
+    /// Seed of the service times.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Faults from the start, as JSON.
+    #[arg(long, value_parser = parse_faults, default_value = "{}")]
+    faults: Faults,
+}
+
+fn parse_faults(text: &str) -> Result<Faults, serde_json::Error> {
+    serde_json::from_str(text)
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let arguments = Arguments::parse();
+    let noise = match (arguments.noise_factor, arguments.noise_ms) {
+        (Some(factor), Some(duration_ms)) => Some(Noise {
+            factor,
+            duration_ms,
+            share: arguments.noise_share,
+        }),
+        _ => None,
+    };
+    let mut stand_in = StandIn::bind(Settings {
+        name: arguments.name,
+        address: arguments.address,
+        control: arguments.control,
+        slots: arguments.slots,
+        service_time: ServiceTime {
+            mean_ms: arguments.mean_ms,
+            sigma: arguments.sigma,
+            noise,
+            seed: arguments.seed,
+        },
+        faults: arguments.faults,
+    })
+    .await?;
+    let addresses = serde_json::json!({
+        "address": stand_in.address(),
+        "control": stand_in.control(),
+        "start": stand_in.start(),
+    });
+    println!("{addresses}");
+    stand_in.wait().await;
+    Ok(())
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the platform and for targets, and fixtures for tests.
+
+pub mod target;
