Add the interface of target selection

The proxy and the administration API need the types of a pool before the adaptive policy exists. Round robin and least in-flight choose, leaving targets get nothing new; the queue, the budgets and the ejection of failing targets are not there yet. A slot is given back with finish(&Observation); report() states the head of a response earlier, because a load report loses its value within milliseconds.

--- /dev/null
+++ b/crates/balance/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the balance package.
+
+mod fixture;
+mod policy;
