--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod caller;
 pub mod platform;
 pub mod process;
+pub mod target;
