--- /dev/null
+++ b/crates/catalog/src/standing.rs
@@ -0,0 +1,104 @@
+//! Whether the documents of an entry are known to be the newest.
+
+use std::time::{Duration, Instant};
+
+use carobdrift_membership::Peer;
+use carobdrift_units::Revision;
+
+/// Time for which a confirmation holds.
+pub(crate) const VALIDITY: Duration = Duration::from_secs(5);
+
+/// Whether an entry may serve with the documents that it holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// The documents were the newest ones at a moment at most 5 s ago.
+    Confirmed {
+        /// Time since that moment.
+        age: Duration,
+    },
+    /// Neither this entry nor a majority of the cell that it hears reaches the
+    /// store, and none of them knows a newer document.
+    Outage,
+    /// The documents may be outdated; calls must be refused.
+    Unconfirmed,
+}
+
+impl Standing {
+    /// Whether calls may be dispatched.
+    #[must_use]
+    pub fn serves(self) -> bool {
+        !matches!(self, Self::Unconfirmed)
+    }
+
+    /// The standing's name as used in metrics and logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Confirmed { .. } => "confirmed",
+            Self::Outage => "outage",
+            Self::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
+/// What an entry knows of itself when it judges whether there is an outage.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Own {
+    pub(crate) revision: Revision,
+    pub(crate) store_reachable: bool,
+    pub(crate) recovered: bool,
+}
+
+/// Number of entries that make a majority of a cell.
+pub(crate) fn majority(cell_size: usize) -> usize {
+    cell_size / 2 + 1
+}
+
+/// Members of the cell heard within `window`, this entry included.
+pub(crate) fn count_heard(peers: &[Peer], window: Duration, now: Instant) -> usize {
+    let heard = peers
+        .iter()
+        .filter(|peer| peer.member && peer.heard_within(window, now));
+    heard.count() + 1
+}
+
+/// Moment until which the standing `Outage` holds; `None` when it does not.
+///
+/// An edit needs a majority of the cell, so every other majority shares a
+/// member with it. That member vouches for the edit only if its memory reaches
+/// back, which is why entries that have not recovered since their start don't
+/// count.
+pub(crate) fn outage_until(
+    own: Own,
+    peers: &[Peer],
+    cell_size: usize,
+    now: Instant,
+) -> Option<Instant> {
+    if own.store_reachable || !own.recovered {
+        return None;
+    }
+    let newer = |peer: &Peer| peer.seen_within(VALIDITY, now) && peer.revision > own.revision;
+    if peers.iter().any(newer) {
+        return None;
+    }
+    let mut votes = Vec::new();
+    for peer in peers {
+        let (Some(heard), Some(status)) = (peer.heard, &peer.status) else {
+            continue;
+        };
+        if !peer.heard_within(VALIDITY, now) {
+            continue;
+        }
+        if status.store_reachable {
+            return None;
+        }
+        if peer.member && status.recovered {
+            votes.push(heard);
+        }
+    }
+    votes.sort_unstable_by(|a, b| b.cmp(a));
+    match majority(cell_size) {
+        0 | 1 => Some(now + VALIDITY),
+        needed => votes.get(needed - 2).map(|heard| *heard + VALIDITY),
+    }
+}
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -27,6 +27,8 @@
     pub heard: Option<Instant>,
     /// Newest revision that its process stated in a ping or a pong.
     pub revision: Revision,
+    /// When its latest ping or pong arrived.
+    pub seen: Option<Instant>,
     /// Whether it counts towards a majority of the cell: it is on the latest
     /// instance list, or no list was read yet.
     pub member: bool,
@@ -40,7 +42,16 @@
     /// Whether it answered a ping that was sent at most `window` before `now`.
     #[must_use]
     pub fn heard_within(&self, window: Duration, now: Instant) -> bool {
-        self.heard
-            .is_some_and(|sent| now.saturating_duration_since(sent) <= window)
+        within(self.heard, window, now)
     }
+
+    /// Whether a ping or a pong of it arrived at most `window` before `now`.
+    #[must_use]
+    pub fn seen_within(&self, window: Duration, now: Instant) -> bool {
+        within(self.seen, window, now)
+    }
+}
+
+fn within(moment: Option<Instant>, window: Duration, now: Instant) -> bool {
+    moment.is_some_and(|moment| now.saturating_duration_since(moment) <= window)
 }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -103,6 +103,7 @@
             status: None,
             heard: None,
             revision: Revision::default(),
+            seen: None,
             member,
             leaving: false,
             connected: false,
@@ -183,6 +184,7 @@
             return;
         }
         known.peer.revision = known.peer.revision.max(status.revision);
+        known.peer.seen = Some(Instant::now());
         known.peer.leaving |= status.leaving;
         if known.peer.heard.is_none_or(|heard| heard <= sent) {
             known.peer.heard = Some(sent);
@@ -197,6 +199,7 @@
             && known.peer.incarnation == Some(hello.incarnation)
         {
             known.peer.revision = known.peer.revision.max(revision);
+            known.peer.seen = Some(Instant::now());
         }
     }
 
@@ -271,6 +274,7 @@
             status: None,
             heard: None,
             revision: Revision::default(),
+            seen: None,
             member: true,
             leaving: row.state == State::Leaving,
             connected: false,
@@ -299,6 +303,7 @@
             self.peer.status = None;
             self.peer.heard = None;
             self.peer.revision = Revision::default();
+            self.peer.seen = None;
             self.peer.leaving = false;
             self.replace_link();
         }
