--- a/crates/test-support/src/caller.rs
+++ b/crates/test-support/src/caller.rs
@@ -16,7 +16,7 @@
 use thiserror::Error;
 
 /// Header that carries a caller's token; targets repeat it in their answer.
-pub const TOKEN_HEADER: &str = "x-caller-token";
+pub const TOKEN_HEADER: &str = "stand-in-token";
 
 /// Time within which the discovery API must answer.
 const ADDRESS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -54,6 +54,8 @@
     pub body: Bytes,
     /// Idempotency key.
     pub key: Option<String>,
+    /// Token by which the answer and the target's record are recognised.
+    pub token: String,
     /// Deadline that is passed to the entry.
     pub deadline: Duration,
 }
@@ -143,6 +145,13 @@
         }
     }
 
+    /// A token that no other call has.
+    #[must_use]
+    pub fn token(&self) -> String {
+        let number = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number}-{:x}", self.shared.zone, rand::random::<u64>())
+    }
+
     /// A fresh idempotency key under the prefix that the system issued.
     ///
     /// # Errors
@@ -196,13 +205,11 @@
     ///
     /// See [`Caller::send`].
     pub async fn send_to(&self, entry: SocketAddr, call: &Call) -> Result<Answer, Error> {
-        let number = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
-        let token = format!("{}-{number}-{:x}", self.shared.zone, rand::random::<u64>());
         let mut request = Request::builder()
             .method(call.method.clone())
             .uri(format!("http://{entry}{}", call.path))
             .header(http::header::HOST, &call.service)
-            .header(TOKEN_HEADER, &token)
+            .header(TOKEN_HEADER, &call.token)
             .header(
                 "carobdrift-deadline-ms",
                 call.deadline.as_millis().to_string(),
@@ -234,7 +241,7 @@
         let own = head
             .headers
             .get(TOKEN_HEADER)
-            .map(|found| found.as_bytes() == token.as_bytes());
+            .map(|found| found.as_bytes() == call.token.as_bytes());
         Ok(Answer {
             status: head.status,
             headers: head.headers,
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing that ships depends on this package.
 
 pub mod caller;
+pub mod fleet;
 pub mod platform;
 pub mod process;
 pub mod target;
