Add the replay of traces and the comparison of policies

Policies take turns under the same load in one run, because the machine is noisy and only ratios within a run mean something.

--- /dev/null
+++ b/crates/replay/src/compare/setup.rs
@@ -0,0 +1,252 @@
+//! The installation under test.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use carobdrift_test_support::caller::Caller;
+use carobdrift_test_support::fleet::{self, Fleet};
+use carobdrift_test_support::target::Noise;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+use super::Error;
+use crate::load;
+use crate::trace::{Policy, Service, Trace};
+
+/// Time within which an entry must become ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// Time within which an accepted edit is looked for on all entries.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(10);
+
+pub(super) struct Bench {
+    pub(super) fleet: Fleet,
+    callers: Vec<Caller>,
+    documents: BTreeMap<String, Document>,
+    in_force: Vec<Duration>,
+    paths: BTreeMap<String, String>,
+    /// Entries that take part: not killed and not stopped.
+    pub(super) running: Vec<usize>,
+}
+
+struct Document {
+    body: Value,
+    version: u64,
+}
+
+impl Bench {
+    pub(super) async fn set_up(
+        trace: &Trace,
+        examples: &Path,
+        logs: Option<&Path>,
+    ) -> Result<Self, Error> {
+        let zones: Vec<&str> = trace
+            .services
+            .first()
+            .map(|service| service.zones.iter().map(String::as_str).collect())
+            .unwrap_or_default();
+        let mut fleet = Fleet::spawn(&zones, logs.map(Path::to_owned)).await?;
+        for service in &trace.services {
+            fleet.start_targets(&behaviour(service)).await?;
+        }
+        let mut running = Vec::new();
+        for _ in 0..trace.entries {
+            running.push(fleet.start_entry(&[]).await?);
+        }
+        let discovery: Vec<SocketAddr> = fleet.entries.iter().map(|entry| entry.admin).collect();
+        let callers = (0..trace.callers as usize)
+            .map(|number| Caller::open(zones[number % zones.len()], discovery.clone()))
+            .collect();
+        let mut bench = Self {
+            fleet,
+            callers,
+            documents: BTreeMap::new(),
+            in_force: Vec::new(),
+            paths: trace
+                .streams
+                .iter()
+                .map(|stream| (stream.service.clone(), stream.path.clone()))
+                .collect(),
+            running,
+        };
+        bench.wait_ready().await?;
+        for service in &trace.services {
+            let body = template(examples, service, &bench.fleet)?;
+            let document = Document { body, version: 0 };
+            bench.documents.insert(service.name.clone(), document);
+            bench.edit(&service.name).await?;
+        }
+        Ok(bench)
+    }
+
+    pub(super) fn callers(&self) -> &[Caller] {
+        &self.callers
+    }
+
+    pub(super) fn in_force(&self) -> &[Duration] {
+        &self.in_force
+    }
+
+    pub(super) fn forget_addresses(&self) {
+        for caller in &self.callers {
+            for service in self.documents.keys() {
+                caller.forget(service);
+            }
+        }
+    }
+
+    /// Path of the stream that calls a service.
+    pub(super) fn direct_path(&self, service: &str) -> String {
+        self.paths
+            .get(service)
+            .cloned()
+            .unwrap_or_else(|| "/".to_owned())
+    }
+
+    /// Probes per second and target that a service's document permits.
+    pub(super) fn probe_budget(&self, service: &str) -> u64 {
+        self.documents
+            .get(service)
+            .and_then(|document| {
+                document.body["measuring"]["probes_per_second_per_target"].as_u64()
+            })
+            .unwrap_or_default()
+    }
+
+    pub(super) async fn use_policy(&mut self, policy: &Policy) -> Result<(), Error> {
+        let services: Vec<String> = self.documents.keys().cloned().collect();
+        for service in services {
+            if let Some(document) = self.documents.get_mut(&service) {
+                document.body["balancing"] = json!({"policy": policy.name});
+                document.body["steering"]["entries_per_zone"] = json!(u32::from(policy.steered));
+            }
+            self.edit(&service).await?;
+        }
+        Ok(())
+    }
+
+    /// Puts a service's document as the bench holds it and waits until it is
+    /// in force on all running entries.
+    pub(super) async fn edit(&mut self, service: &str) -> Result<(), Error> {
+        let document = self
+            .documents
+            .get(service)
+            .ok_or_else(|| Error::Service(service.to_owned()))?;
+        let path = format!(
+            "/v1/documents/{service}?expected_version={}",
+            document.version
+        );
+        let body = document.body.clone();
+        let mut last = String::new();
+        for index in self.running.clone() {
+            let admin = self.fleet.entry(index)?.admin;
+            let answer = self
+                .fleet
+                .admin(admin, Method::PUT, &path, Some(&body))
+                .await;
+            let Ok((status, answer)) = answer else {
+                continue;
+            };
+            if status.is_success()
+                && let Some(version) = answer["version"].as_u64()
+            {
+                if let Some(document) = self.documents.get_mut(service) {
+                    document.version = version;
+                }
+                return self.await_in_force(service, version).await;
+            }
+            last = format!("{status} {answer}");
+            if status != StatusCode::SERVICE_UNAVAILABLE {
+                break;
+            }
+        }
+        Err(Error::Edit {
+            service: service.to_owned(),
+            answer: last,
+        })
+    }
+
+    async fn await_in_force(&mut self, service: &str, version: u64) -> Result<(), Error> {
+        let start = Instant::now();
+        let path = format!("/v1/documents/{service}");
+        for index in self.running.clone() {
+            let admin = self.fleet.entry(index)?.admin;
+            while start.elapsed() < IN_FORCE_LIMIT {
+                let answer = self.fleet.admin(admin, Method::GET, &path, None).await;
+                if let Ok((_, body)) = answer
+                    && body["version"].as_u64() >= Some(version)
+                {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        self.in_force.push(start.elapsed());
+        Ok(())
+    }
+
+    async fn wait_ready(&self) -> Result<(), Error> {
+        for entry in &self.fleet.entries {
+            if !self.fleet.wait_ready(entry.admin, READY_LIMIT).await {
+                return Err(Error::NotReady(entry.id.to_string()));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The trace's streams with their rates.
+pub(super) fn streams(trace: &Trace) -> Result<Vec<load::Stream>, Error> {
+    trace
+        .streams
+        .iter()
+        .map(|stream| {
+            let service = trace
+                .services
+                .iter()
+                .find(|service| service.name == stream.service)
+                .ok_or_else(|| Error::Service(stream.service.clone()))?;
+            let slots = f64::from(service.targets * service.slots);
+            Ok(load::Stream {
+                service: stream.service.clone(),
+                method: stream.method.parse().unwrap_or(Method::GET),
+                path: stream.path.clone(),
+                rate: stream.load * slots / (service.mean_ms / 1000.0),
+                keyed: stream.keyed,
+            })
+        })
+        .collect()
+}
+
+fn behaviour(service: &Service) -> fleet::Service {
+    fleet::Service {
+        name: service.name.clone(),
+        targets: service.targets,
+        slots: service.slots,
+        zones: service.zones.clone(),
+        mean_ms: service.mean_ms,
+        sigma: service.sigma,
+        noise: Some(Noise {
+            factor: service.noise_factor,
+            duration_ms: Duration::from_millis(service.noise_ms).as_secs_f64() * 1000.0,
+            share: service.noise_percent / 100.0,
+        }),
+    }
+}
+
+fn template(examples: &Path, service: &Service, fleet: &Fleet) -> Result<Value, Error> {
+    let path = examples.join(format!("{}.json", service.name));
+    let shown = path.display().to_string();
+    let text = std::fs::read_to_string(&path).map_err(|problem| Error::Document {
+        path: shown.clone(),
+        problem,
+    })?;
+    let mut body: Value = serde_json::from_str(&text).map_err(|problem| Error::Json {
+        path: shown,
+        problem,
+    })?;
+    body["targets"] = fleet.target_rows(&service.name);
+    Ok(body)
+}
--- /dev/null
+++ b/crates/replay/src/load.rs
@@ -0,0 +1,199 @@
+//! Open-loop load: Poisson streams of calls and the log of what became of them.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use carobdrift_test_support::caller::{Answer, Call, Caller, Error};
+use http::Method;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use tokio::task::JoinSet;
+
+/// Time that a call may take; it is what the caller states as its deadline.
+pub const DEADLINE: Duration = Duration::from_secs(2);
+
+/// One stream of calls to one route.
+#[derive(Debug, Clone)]
+pub struct Stream {
+    /// Service.
+    pub service: String,
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Calls per second.
+    pub rate: f64,
+    /// Whether calls carry issued idempotency keys and are sent again through
+    /// another entry after an unknown outcome.
+    pub keyed: bool,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// A whole answer of a target.
+    Whole,
+    /// An answer of a target that belongs to another call.
+    Crossed,
+    /// The system stated that the request was not run.
+    NotRun,
+    /// The system stated that the outcome is unknown.
+    Unknown,
+    /// No whole answer arrived, or the entry's connection broke.
+    Broken,
+    /// The connection to every entry was refused; nothing was sent.
+    Refused,
+}
+
+/// What became of one call.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// Service.
+    pub service: String,
+    /// Token of the call.
+    pub token: String,
+    /// Whether the request must run at most once.
+    pub once: bool,
+    /// Time since the start of the turn at which the call was due.
+    pub due: Duration,
+    /// Time from the moment at which the call was due until its end. Counting
+    /// from there keeps a stalled generator from hiding slow answers.
+    pub latency: Duration,
+    /// How it ended.
+    pub end: End,
+    /// Reason that the system stated, if any.
+    pub reason: Option<String>,
+}
+
+/// Runs streams for a while and returns what became of every call.
+pub async fn run(
+    streams: &[Stream],
+    callers: &[Caller],
+    length: Duration,
+    seed: u64,
+) -> Vec<Record> {
+    let records = Arc::new(Mutex::new(Vec::new()));
+    let mut generators = JoinSet::new();
+    for (index, stream) in streams.iter().enumerate() {
+        let seed = seed.wrapping_add(index as u64);
+        generators.spawn(generate(
+            stream.clone(),
+            callers.to_vec(),
+            length,
+            seed,
+            Arc::clone(&records),
+        ));
+    }
+    while generators.join_next().await.is_some() {}
+    let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
+    std::mem::take(&mut *records)
+}
+
+async fn generate(
+    stream: Stream,
+    callers: Vec<Caller>,
+    length: Duration,
+    seed: u64,
+    records: Arc<Mutex<Vec<Record>>>,
+) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let Ok(gap) = Exp::new(stream.rate) else {
+        return;
+    };
+    let start = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut calls = JoinSet::new();
+    loop {
+        due += Duration::from_secs_f64(gap.sample(&mut random));
+        if due >= length {
+            break;
+        }
+        let moment = start + due;
+        if moment > Instant::now() {
+            tokio::time::sleep_until(moment.into()).await;
+        }
+        let caller = callers[random.random_range(0..callers.len())].clone();
+        let stream = stream.clone();
+        let records = Arc::clone(&records);
+        calls.spawn(async move {
+            let record = call(&stream, &caller, due, moment).await;
+            records
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(record);
+        });
+        while calls.try_join_next().is_some() {}
+    }
+    while calls.join_next().await.is_some() {}
+}
+
+async fn call(stream: &Stream, caller: &Caller, due: Duration, moment: Instant) -> Record {
+    let key = if stream.keyed {
+        caller.key(&stream.service).await.ok().flatten()
+    } else {
+        None
+    };
+    let call = Call {
+        service: stream.service.clone(),
+        method: stream.method.clone(),
+        path: stream.path.clone(),
+        body: Bytes::new(),
+        key,
+        token: caller.token(),
+        deadline: DEADLINE,
+    };
+    let first = caller.send(&call).await;
+    let (mut end, mut reason) = judge(&first);
+    let latency = moment.elapsed();
+    if stream.keyed && call.key.is_some() && matches!(end, End::Unknown | End::Broken) {
+        (end, reason) = send_again(caller, &call, end, reason).await;
+    }
+    Record {
+        service: stream.service.clone(),
+        token: call.token,
+        once: stream.keyed,
+        due,
+        latency,
+        end,
+        reason,
+    }
+}
+
+/// Sends a request again through the next entry under the same key. The first
+/// send stays unknown unless the second one shows what became of it.
+async fn send_again(
+    caller: &Caller,
+    call: &Call,
+    end: End,
+    reason: Option<String>,
+) -> (End, Option<String>) {
+    let entries = caller.entries(&call.service).await.unwrap_or_default();
+    let Some(entry) = entries.get(1) else {
+        return (end, reason);
+    };
+    let again = caller.send_to(*entry, call).await;
+    match judge(&again) {
+        (found @ (End::Whole | End::Crossed), reason) => (found, reason),
+        _ => (end, reason),
+    }
+}
+
+fn judge(result: &Result<Answer, Error>) -> (End, Option<String>) {
+    match result {
+        Ok(answer) => {
+            let end = match (answer.outcome(), answer.own) {
+                (Some("not-run"), _) => End::NotRun,
+                (Some(_), _) => End::Unknown,
+                (None, Some(true)) if answer.status.is_success() => End::Whole,
+                (None, Some(false)) => End::Crossed,
+                (None, None) if answer.status.is_success() => End::Crossed,
+                (None, _) => End::Broken,
+            };
+            (end, answer.reason().map(str::to_owned))
+        }
+        Err(Error::Connect(_) | Error::NoAddress | Error::Request(_)) => (End::Refused, None),
+        Err(Error::Broken(_)) => (End::Broken, None),
+    }
+}
