Add the adaptive policy, admission, budgets and target health

Slots are admitted at the entry: calls wait per class, earliest deadline first, and classes share the slots by weight.

Targets that fail are ejected within the cap, leaving targets get nothing new from any purpose, and retries and hedges spend a share of requests. Limits apply to this entry's share, which is a fixed part plus a grant that expires.

Local is built with Local::new now, and each pool starts with the fixed share of its limits only; Allowance::grant and Allowance::split raise it.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -4,16 +4,34 @@
 //! service. [`Pool::acquire`] admits a [`Call`] and returns a [`Slot`] on a
 //! target, or states why the call was [`Shed`].
 
+mod admission;
+mod allowance;
+mod budget;
 mod call;
+mod class;
+mod ejection;
+mod health;
+mod latency;
 mod metrics;
+mod node;
+mod number;
 mod observation;
+mod permit;
+mod policy;
 mod pool;
+mod queue;
+mod signal;
 mod slot;
+mod state;
+mod tenure;
 mod view;
+mod window;
 
+pub use allowance::{Allowance, Share};
 pub use call::{Call, Purpose, Scope, Shed};
 pub use metrics::Metrics;
 pub use observation::{Departure, Evidence, Load, Observation, Outcome, Report, Sample};
+pub use policy::Policy;
 pub use pool::{Local, Pool};
 pub use slot::Slot;
 pub use view::{Standing, TargetView};
--- a/crates/balance/src/metrics.rs
+++ b/crates/balance/src/metrics.rs
@@ -12,7 +12,9 @@
 #[derive(Debug, Clone)]
 pub struct Metrics {
     pub(crate) attempts: HistogramVec,
+    pub(crate) queued: HistogramVec,
     pub(crate) sheds: IntCounterVec,
+    pub(crate) ejections: IntCounterVec,
     pub(crate) retries: IntCounterVec,
     pub(crate) hedges: IntCounterVec,
 }
@@ -40,11 +42,20 @@
                 "carobdrift_attempt_seconds",
                 "Time from the dispatch of an attempt to its successful end",
             )?,
+            queued: histogram(
+                "carobdrift_queue_seconds",
+                "Time that a call waited for a slot",
+            )?,
             sheds: counter(
                 "carobdrift_sheds_total",
                 "Calls that were shed before dispatch",
                 &["service", "class", "reason"],
             )?,
+            ejections: counter(
+                "carobdrift_ejections_total",
+                "Ejections of failing targets",
+                &["service"],
+            )?,
             retries: counter(
                 "carobdrift_retries_total",
                 "Retries that the budget admitted",
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -1,19 +1,35 @@
 //! Pool of the targets of one service.
 
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use carobdrift_document::{Document, Endpoint, Policy, State};
-use carobdrift_units::{Instance, Target, Version, Zone};
-use tokio::sync::mpsc;
+use carobdrift_document::Document;
+use carobdrift_units::{Class, Instance, Service, Target, Version, Zone};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
+use crate::allowance::Allowance;
 use crate::call::{Call, Purpose, Shed};
 use crate::metrics::Metrics;
+use crate::node::Node;
 use crate::observation::{Departure, Evidence, Observation, Report, Sample};
-use crate::slot::{Slot, Ticket};
-use crate::view::{Standing, TargetView};
+use crate::permit::Permit;
+use crate::policy::Policy;
+use crate::queue::Position;
+use crate::slot::Slot;
+use crate::state::{Admitted, Effects, State, Ticket};
+use crate::view::TargetView;
+
+/// Largest permitted number of entries, by which fixed shares are computed.
+const MAX_ENTRIES: u32 = 20;
+
+/// Time between two looks at the queue while calls wait. Estimates decay
+/// without an event that would say so.
+const TICK: Duration = Duration::from_millis(1);
+
+/// Age up to which a probe sample is taken in.
+const SAMPLE_VALIDITY: Duration = Duration::from_secs(1);
 
 /// What a pool knows of its own entry.
 #[derive(Debug, Clone)]
@@ -22,11 +38,29 @@
     pub instance: Instance,
     /// Availability zone of the entry.
     pub zone: Zone,
+    /// Largest permitted number of entries.
+    pub max_entries: u32,
+    /// Share of the limits of the service's team, over all of its services.
+    pub team: Option<Allowance>,
     /// Receives each target that the pool marks as leaving, so that peers can
     /// be told.
     pub departures: Option<mpsc::UnboundedSender<Departure>>,
 }
 
+impl Local {
+    /// An entry without team limits, of 20 at most.
+    #[must_use]
+    pub fn new(instance: Instance, zone: Zone) -> Self {
+        Self {
+            instance,
+            zone,
+            max_entries: MAX_ENTRIES,
+            team: None,
+            departures: None,
+        }
+    }
+}
+
 /// Targets of one service with everything that this entry knows of them;
 /// cheap to clone.
 #[derive(Debug, Clone)]
@@ -36,75 +70,49 @@
 
 #[derive(Debug)]
 pub(crate) struct Shared {
-    state: Mutex<Targets>,
-    local: Local,
+    state: Mutex<State>,
+    service: Service,
+    allowance: Allowance,
+    departures: Option<mpsc::UnboundedSender<Departure>>,
     metrics: Metrics,
 }
 
-#[derive(Debug)]
-struct Targets {
-    document: Arc<Document>,
-    nodes: Vec<Node>,
-    next: usize,
-    attempts: u64,
-}
-
-#[derive(Debug)]
-struct Node {
-    serial: u64,
-    endpoint: Endpoint,
-    leaving: Option<Evidence>,
-    in_flight: BTreeMap<u64, Instant>,
-}
-
 impl Pool {
     /// Opens the pool of a document.
     #[must_use]
-    pub fn open(document: Arc<Document>, _: Version, local: Local, metrics: Metrics) -> Self {
-        let nodes = document.targets.iter().zip(0..);
-        let nodes = nodes.map(|(endpoint, serial)| Node::new(serial, endpoint.clone()));
-        let targets = Targets {
-            nodes: nodes.collect(),
-            document,
-            next: 0,
-            attempts: 0,
-        };
+    pub fn open(document: Arc<Document>, version: Version, local: Local, metrics: Metrics) -> Self {
+        let allowance = Allowance::open(document.limits.clone(), local.max_entries);
+        let service = document.service.clone();
+        let departures = local.departures.clone();
+        let limits = allowance.clone();
+        let state = State::new(document, version, limits, local, metrics.clone());
         Self {
             shared: Arc::new(Shared {
-                state: Mutex::new(targets),
-                local,
+                state: Mutex::new(state),
+                service,
+                allowance,
+                departures,
                 metrics,
             }),
         }
     }
 
     /// Puts another version of the document in force. Targets that stay keep
-    /// their state; requests on removed targets run to completion.
-    pub fn reload(&self, document: Arc<Document>, _: Version) {
-        let mut state = self.shared.lock();
-        let mut serial = state
-            .nodes
-            .iter()
-            .map(|node| node.serial)
-            .max()
-            .unwrap_or(0);
-        let mut nodes = Vec::new();
-        for endpoint in &document.targets {
-            let found = state
-                .nodes
-                .iter()
-                .position(|n| n.endpoint.id == endpoint.id);
-            if let Some(index) = found {
-                let mut node = state.nodes.swap_remove(index);
-                node.endpoint = endpoint.clone();
-                nodes.push(node);
-            } else {
-                serial += 1;
-                nodes.push(Node::new(serial, endpoint.clone()));
+    /// their state, requests on removed targets run to completion, and waiting
+    /// calls stay in their queue. A version that is not newer is ignored.
+    pub fn reload(&self, document: Arc<Document>, version: Version) {
+        let limits = document.limits.clone();
+        let newer = self.shared.change(|state, now, effects| {
+            let newer = version > state.version;
+            if newer {
+                state.reload(document, version, now, effects);
             }
+            newer
+        });
+        if newer {
+            self.shared.allowance.reload(limits);
+            log::info!(target: "balance", "{}: version {version} is in force", self.shared.service);
         }
-        state.nodes = nodes;
-        state.document = document;
     }
 
     /// Admits a call and chooses its target. Waits until the deadline at most.
@@ -112,182 +120,222 @@
     /// # Errors
     ///
     /// Fails with the reason when the call is shed; it was not sent anywhere.
-    #[expect(clippy::unused_async, reason = "calls wait once admission is by slots")]
     pub async fn acquire(&self, call: &Call) -> Result<Slot, Shed> {
-        let slot = self.shared.take(call, &[]).ok_or(Shed::NoTarget);
-        if let Err(shed) = slot {
-            let service = self.shared.lock().document.service.clone();
-            let labels = [service.as_str(), call.class.as_str(), shed.reason()];
+        let result = self.shared.acquire(call).await;
+        if let Err(shed) = result {
+            let service = self.shared.service.as_str();
+            let labels = [service, call.class.as_str(), shed.reason()];
             self.shared.metrics.sheds.with_label_values(&labels).inc();
         }
-        slot
+        result
     }
 
     /// Takes one more target for a call and spends the budget of the purpose.
-    /// `tried` names the targets of all attempts so far, the last one last.
+    /// `tried` names the targets of all attempts so far, the last one last. A
+    /// call that must not run twice may retry only when nothing was sent.
     #[must_use]
     pub fn try_another(&self, call: &Call, purpose: Purpose, tried: &[Target]) -> Option<Slot> {
-        let slot = self.shared.take(call, tried)?;
-        let service = self.shared.lock().document.service.clone();
-        let labels = [service.as_str(), call.class.as_str()];
-        let metrics = &self.shared.metrics;
-        let counter = match purpose {
-            Purpose::Retry | Purpose::Reconnect => &metrics.retries,
-            Purpose::Hedge => &metrics.hedges,
-        };
-        counter.with_label_values(&labels).inc();
-        Some(slot)
+        let mut state = self.shared.lock();
+        let now = Instant::now();
+        let (ticket, permit) = state.try_another(call, purpose, tried, now)?;
+        let node = state.nodes.get(&ticket.node)?;
+        Some(self.shared.slot(ticket, node, permit))
     }
 
-    /// Time after which a hedge is worth sending; `None` when the call is not
-    /// to be hedged.
+    /// Time after the dispatch at which a hedge is worth sending; `None` when
+    /// the call is not to be hedged.
     #[must_use]
-    pub fn hedge_delay(&self, _: &Call) -> Option<Duration> {
-        None
+    pub fn hedge_delay(&self, call: &Call) -> Option<Duration> {
+        self.shared.lock().hedge_delay(call)
     }
 
     /// Marks a target as leaving: from now on it gets nothing new. `start` is
-    /// the start id of the process that is leaving, when known. Returns whether
-    /// the mark is new.
-    pub fn mark_leaving(&self, target: &Target, evidence: Evidence, start: Option<&str>) -> bool {
-        let departure = {
-            let mut state = self.shared.lock();
-            let service = state.document.service.clone();
-            let Some(node) = state.nodes.iter_mut().find(|n| n.endpoint.id == *target) else {
-                return false;
+    /// the start id of the process that is leaving, when known. The first
+    /// evidence counts and is sent to [`Local::departures`].
+    pub fn mark_leaving(&self, target: &Target, evidence: Evidence, start: Option<&str>) {
+        self.shared.change(|state, now, effects| {
+            state.mark_leaving(target, evidence, start, now, effects);
+        });
+    }
+
+    /// Learns the start id of a target's process from the instance list.
+    pub fn learn_start(&self, target: &Target, start: &str) {
+        self.shared.change(|state, now, _| {
+            if let Some(node) = state.node_mut(target) {
+                node.learn_start(start, now);
+            }
+        });
+    }
+
+    /// Learns the result of a probe. One that is older than a second is
+    /// ignored.
+    pub fn learn(&self, sample: &Sample) {
+        self.shared.change(|state, now, effects| {
+            let Some(node) = state.node_mut(&sample.target) else {
+                return;
             };
-            if node.leaving.is_some() {
-                return false;
+            let start = sample.start.as_deref();
+            if start.is_some_and(|start| node.tenure.is_past(start)) {
+                return;
             }
-            node.leaving = Some(evidence);
-            Departure {
-                service,
-                target: target.clone(),
-                evidence,
-                start: start.map(str::to_owned),
+            if let Some(start) = start {
+                node.learn_start(start, now);
             }
-        };
-        if let Some(departures) = &self.shared.local.departures {
-            let _ = departures.send(departure);
-        }
-        true
+            let taken = now
+                .checked_sub(sample.age)
+                .filter(|_| sample.age <= SAMPLE_VALIDITY);
+            if let Some(taken) = taken {
+                node.probe(sample.in_flight, taken);
+                if sample.healthy {
+                    node.health.probed(taken);
+                }
+            }
+            if sample.draining {
+                state.mark_leaving(&sample.target, Evidence::Response, start, now, effects);
+            }
+        });
     }
 
-    /// Learns the start id of a target's process from the instance list.
-    pub fn learn_start(&self, _: &Target, _: &str) {}
+    /// This entry's share of the service's limits.
+    #[must_use]
+    pub fn allowance(&self) -> Allowance {
+        self.shared.allowance.clone()
+    }
 
-    /// Learns the result of a probe.
-    pub fn learn(&self, sample: &Sample) {
-        if sample.draining {
-            self.mark_leaving(&sample.target, Evidence::Response, sample.start.as_deref());
-        }
+    /// The policy in force.
+    #[must_use]
+    pub fn policy(&self) -> Policy {
+        self.shared.lock().policy.clone()
     }
 
-    /// The targets as this entry sees them.
+    /// The targets of the document as this entry sees them.
     #[must_use]
     pub fn view(&self) -> Vec<TargetView> {
+        let now = Instant::now();
         let state = self.shared.lock();
-        let view = state.nodes.iter().map(|node| TargetView {
-            target: node.endpoint.id.clone(),
-            address: node.endpoint.address,
-            zone: node.endpoint.zone.clone(),
-            slots: node.endpoint.slots,
-            standing: node.leaving.map_or(Standing::Active, Standing::Leaving),
-            in_flight: u32::try_from(node.in_flight.len()).unwrap_or(u32::MAX),
-            foreign: 0.0,
-            latency: None,
-            last_answer: None,
-            cold: false,
-            start: None,
-        });
-        view.collect()
+        let listed = state.nodes.values().filter(|node| !node.retired);
+        listed.map(|node| node.view(now)).collect()
     }
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, Targets> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn take(self: &Arc<Self>, call: &Call, tried: &[Target]) -> Option<Slot> {
-        let mut state = self.lock();
-        let count = state.nodes.len();
-        let policy = state.document.balancing.policy;
-        let first = state.next;
-        let candidates = (0..count).map(|offset| (first + offset) % count);
-        let candidates = candidates.filter(|index| {
-            let node = &state.nodes[*index];
-            node.leaving.is_none() && !tried.contains(&node.endpoint.id)
-        });
-        let index = match policy {
-            Policy::RoundRobin => candidates.into_iter().next(),
-            _ => candidates.min_by_key(|index| state.nodes[*index].in_flight.len()),
-        }?;
-        state.next = (index + 1) % count;
-        state.attempts += 1;
-        let attempt = state.attempts;
-        let node = &mut state.nodes[index];
-        let started = Instant::now();
-        node.in_flight.insert(attempt, started);
-        Some(Slot {
+    /// Changes the state, sends the waiting calls that have become possible,
+    /// and then, without the lock, does what follows from it.
+    fn change<T>(
+        self: &Arc<Self>,
+        change: impl FnOnce(&mut State, Instant, &mut Effects) -> T,
+    ) -> T {
+        let now = Instant::now();
+        let mut effects = Effects::default();
+        let result = {
+            let mut state = self.lock();
+            let result = change(&mut state, now, &mut effects);
+            state.dispatch(
+                now,
+                |ticket, node, permit| self.slot(ticket, node, permit),
+                &mut effects,
+            );
+            if !state.queue.is_empty()
+                && !state.ticking
+                && let Ok(runtime) = Handle::try_current()
+            {
+                state.ticking = true;
+                runtime.spawn(tick(Arc::downgrade(self)));
+            }
+            result
+        };
+        for (sender, answer) in effects.answers {
+            // A slot that nobody receives any more gives itself back.
+            drop(sender.send(answer));
+        }
+        if let Some(departures) = &self.departures {
+            for departure in effects.departures {
+                // Without a receiver the entry is stopping.
+                let _ = departures.send(departure);
+            }
+        }
+        result
+    }
+
+    async fn acquire(self: &Arc<Self>, call: &Call) -> Result<Slot, Shed> {
+        let admitted = self.change(|state, now, _| {
+            Ok(match state.admit(call, now)? {
+                Admitted::Sent(ticket, permit) => match state.nodes.get(&ticket.node) {
+                    Some(node) => Ok(self.slot(ticket, node, permit)),
+                    None => return Err(Shed::NoTarget),
+                },
+                Admitted::Waiting(position, receiver) => Err(Waiting {
+                    shared: Arc::clone(self),
+                    class: call.class.clone(),
+                    position,
+                    receiver,
+                }),
+            })
+        })?;
+        match admitted {
+            Ok(slot) => Ok(slot),
+            Err(mut waiting) => {
+                match tokio::time::timeout_at(call.deadline, &mut waiting.receiver).await {
+                    Ok(Ok(answer)) => answer,
+                    Ok(Err(_)) | Err(_) => Err(Shed::Deadline),
+                }
+            }
+        }
+    }
+
+    fn slot(self: &Arc<Self>, ticket: Ticket, node: &Node, permit: Permit) -> Slot {
+        Slot {
             shared: Arc::clone(self),
-            ticket: Ticket {
-                node: node.serial,
-                attempt,
-                class: call.class.clone(),
-                started,
-            },
+            ticket,
             target: node.endpoint.id.clone(),
             address: node.endpoint.address,
             finished: false,
-        })
+            _permit: permit,
+        }
     }
 
     pub(crate) fn report(self: &Arc<Self>, ticket: &Ticket, report: &Report) {
-        if !report.draining {
-            return;
-        }
-        let target = {
-            let state = self.lock();
-            let node = state.nodes.iter().find(|node| node.serial == ticket.node);
-            node.map(|node| node.endpoint.id.clone())
-        };
-        if let Some(target) = target {
-            let pool = Pool {
-                shared: Arc::clone(self),
-            };
-            pool.mark_leaving(&target, Evidence::Response, report.start.as_deref());
-        }
+        self.change(|state, now, effects| state.report(ticket, report, now, effects));
     }
 
-    pub(crate) fn finish(self: &Arc<Self>, ticket: &Ticket, observation: &Observation) {
-        self.report(ticket, &observation.report);
-        let service = self.lock().document.service.clone();
-        let labels = [service.as_str(), ticket.class.as_str()];
-        let attempts = self.metrics.attempts.with_label_values(&labels);
-        attempts.observe(ticket.started.elapsed().as_secs_f64());
-        self.cancel(ticket);
+    pub(crate) fn finish(self: &Arc<Self>, ticket: &Ticket, observation: Option<&Observation>) {
+        self.change(|state, now, effects| state.finish(ticket, observation, now, effects));
     }
+}
 
-    pub(crate) fn cancel(&self, ticket: &Ticket) {
-        let mut state = self.lock();
-        let node = state
-            .nodes
-            .iter_mut()
-            .find(|node| node.serial == ticket.node);
-        if let Some(node) = node {
-            node.in_flight.remove(&ticket.attempt);
-        }
+/// A call that waits for its slot; dropping it leaves the queue.
+#[derive(Debug)]
+struct Waiting {
+    shared: Arc<Shared>,
+    class: Class,
+    position: Position,
+    receiver: oneshot::Receiver<Result<Slot, Shed>>,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        // The waiter holds a permit, which is dropped after the lock.
+        let _waiter = self.shared.lock().queue.remove(&self.class, self.position);
     }
 }
 
-impl Node {
-    fn new(serial: u64, endpoint: Endpoint) -> Self {
-        Self {
-            serial,
-            leaving: (endpoint.state == State::Leaving).then_some(Evidence::Document),
-            endpoint,
-            in_flight: BTreeMap::new(),
+/// Looks at the queue until nothing waits.
+async fn tick(shared: Weak<Shared>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        let waits = shared.change(|state, _, _| {
+            state.ticking = !state.queue.is_empty();
+            state.ticking
+        });
+        if !waits {
+            return;
         }
     }
 }
--- a/crates/balance/src/slot.rs
+++ b/crates/balance/src/slot.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use carobdrift_units::Target;
-use tokio::time::Instant;
 
 use crate::observation::{Observation, Report};
+use crate::permit::Permit;
 use crate::pool::Shared;
+use crate::state::Ticket;
 
 /// The right to send one attempt to one target. Dropping it without
 /// [`Slot::finish`] states that the attempt was cancelled.
@@ -18,19 +19,7 @@
     pub(crate) target: Target,
     pub(crate) address: SocketAddr,
     pub(crate) finished: bool,
-}
-
-/// Identity of an attempt within its pool.
-#[derive(Debug, Clone)]
-pub(crate) struct Ticket {
-    /// Serial number of the target's node.
-    pub(crate) node: u64,
-    /// Serial number of the attempt.
-    pub(crate) attempt: u64,
-    /// Class of the call.
-    pub(crate) class: carobdrift_units::Class,
-    /// Moment of the dispatch.
-    pub(crate) started: Instant,
+    pub(crate) _permit: Permit,
 }
 
 impl Slot {
@@ -47,7 +36,7 @@
     }
 
     /// States what the head of the response says of the target, before the
-    /// response is complete.
+    /// response is complete. The observation then needs no report of its own.
     pub fn report(&self, report: &Report) {
         self.shared.report(&self.ticket, report);
     }
@@ -55,14 +44,14 @@
     /// Gives the slot back with the result of the attempt.
     pub fn finish(mut self, observation: &Observation) {
         self.finished = true;
-        self.shared.finish(&self.ticket, observation);
+        self.shared.finish(&self.ticket, Some(observation));
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         if !self.finished {
-            self.shared.cancel(&self.ticket);
+            self.shared.finish(&self.ticket, None);
         }
     }
 }
--- /dev/null
+++ b/crates/balance/src/state.rs
@@ -0,0 +1,266 @@
+//! State of a pool behind its lock.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use carobdrift_document::Document;
+use carobdrift_units::{Class, Target, Version};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::allowance::Allowance;
+use crate::budget::Budget;
+use crate::class::Traffic;
+use crate::metrics::Metrics;
+use crate::node::Node;
+use crate::observation::{Departure, Evidence, Observation, Outcome, Report};
+use crate::permit::Permit;
+use crate::policy::Policy;
+use crate::pool::Local;
+use crate::queue::{Answer, Position, Queue};
+
+/// State of a pool.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) document: Arc<Document>,
+    pub(crate) version: Version,
+    pub(crate) nodes: BTreeMap<u64, Node>,
+    pub(crate) policy: Policy,
+    pub(crate) queue: Queue,
+    pub(crate) ticking: bool,
+    pub(crate) classes: BTreeMap<Class, Traffic>,
+    pub(crate) allowance: Allowance,
+    pub(crate) retries: Budget,
+    pub(crate) hedges: Budget,
+    pub(crate) local: Local,
+    pub(crate) metrics: Metrics,
+    serial: u64,
+    pub(crate) attempts: u64,
+}
+
+/// What is to be done once the lock is released: dropping a slot takes the
+/// lock again.
+#[derive(Debug, Default)]
+pub(crate) struct Effects {
+    pub(crate) answers: Vec<(oneshot::Sender<Answer>, Answer)>,
+    pub(crate) departures: Vec<Departure>,
+}
+
+/// Identity of an attempt within its pool.
+#[derive(Debug, Clone)]
+pub(crate) struct Ticket {
+    /// Serial number of the target's node.
+    pub(crate) node: u64,
+    /// Serial number of the attempt.
+    pub(crate) attempt: u64,
+    /// Class of the call.
+    pub(crate) class: Class,
+}
+
+/// An admitted call.
+#[derive(Debug)]
+pub(crate) enum Admitted {
+    Sent(Ticket, Permit),
+    Waiting(Position, oneshot::Receiver<Answer>),
+}
+
+impl State {
+    pub(crate) fn new(
+        document: Arc<Document>,
+        version: Version,
+        allowance: Allowance,
+        local: Local,
+        metrics: Metrics,
+    ) -> Self {
+        let mut state = Self {
+            version,
+            nodes: BTreeMap::new(),
+            policy: Policy::new(document.balancing.policy),
+            queue: Queue::default(),
+            ticking: false,
+            classes: BTreeMap::new(),
+            allowance,
+            retries: Budget::new(document.retries.budget_percent),
+            hedges: Budget::new(document.hedging.budget_percent),
+            local,
+            metrics,
+            serial: 0,
+            attempts: 0,
+            document,
+        };
+        let document = Arc::clone(&state.document);
+        let mut effects = Effects::default();
+        // An entry that starts knows no target; treating all of them as cold
+        // would only take its capacity away.
+        state.adopt(&document, None, &mut effects);
+        state
+    }
+
+    /// Puts a document in force.
+    pub(crate) fn reload(
+        &mut self,
+        document: Arc<Document>,
+        version: Version,
+        now: Instant,
+        effects: &mut Effects,
+    ) {
+        self.version = version;
+        if self.policy.rule() != document.balancing.policy {
+            self.policy = Policy::new(document.balancing.policy);
+        }
+        self.retries.reload(document.retries.budget_percent);
+        self.hedges.reload(document.hedging.budget_percent);
+        self.adopt(&document, Some(now), effects);
+        self.document = document;
+    }
+
+    fn adopt(&mut self, document: &Document, now: Option<Instant>, effects: &mut Effects) {
+        for node in self.nodes.values_mut() {
+            node.retired = true;
+        }
+        for endpoint in &document.targets {
+            let mut nodes = self.nodes.values_mut();
+            let active = endpoint.state == carobdrift_document::State::Active;
+            let node = if let Some(node) = nodes.find(|n| n.endpoint.id == endpoint.id) {
+                let moved = node.endpoint.address != endpoint.address;
+                node.retired = false;
+                node.endpoint = endpoint.clone();
+                if moved && let Some(now) = now {
+                    node.renew(now);
+                }
+                node
+            } else {
+                self.serial += 1;
+                let node = Node::new(self.serial, endpoint.clone(), now);
+                self.nodes.entry(self.serial).or_insert(node)
+            };
+            let was_leaving = node.tenure.leaving().is_some();
+            let back = node.tenure.reload(self.version, active);
+            if back && let Some(now) = now {
+                log::info!(target: "balance", "{}: target {} is back", document.service, endpoint.id);
+                node.renew(now);
+            }
+            if !active && !was_leaving {
+                effects.departures.push(Departure {
+                    service: document.service.clone(),
+                    target: endpoint.id.clone(),
+                    evidence: Evidence::Document,
+                    start: node.tenure.start().map(str::to_owned),
+                });
+            }
+        }
+        self.nodes
+            .retain(|_, node| !node.retired || node.in_flight() > 0);
+        let classes = document.classes.iter();
+        self.queue
+            .reload(classes.map(|class| (&class.name, class.weight, class.max_queue)));
+        self.classes
+            .retain(|class, _| document.classes.iter().any(|c| c.name == *class));
+        for (class, traffic) in &mut self.classes {
+            traffic.reload(document, class);
+        }
+        if let Some(now) = now {
+            self.enforce_ejection_cap(now);
+        }
+    }
+
+    /// Takes in what the head of a response states.
+    pub(crate) fn report(
+        &mut self,
+        ticket: &Ticket,
+        report: &Report,
+        now: Instant,
+        effects: &mut Effects,
+    ) {
+        let Some(node) = self.nodes.get_mut(&ticket.node) else {
+            return;
+        };
+        let start = report.start.as_deref();
+        if start.is_some_and(|start| node.tenure.is_past(start)) {
+            return;
+        }
+        node.report(report, now);
+        let target = node.endpoint.id.clone();
+        if let Some(start) = start {
+            node.learn_start(start, now);
+        }
+        if report.draining {
+            self.mark_leaving(&target, Evidence::Response, start, now, effects);
+        }
+    }
+
+    /// Ends an attempt; without an observation it was cancelled.
+    pub(crate) fn finish(
+        &mut self,
+        ticket: &Ticket,
+        observation: Option<&Observation>,
+        now: Instant,
+        effects: &mut Effects,
+    ) {
+        if let Some(observation) = observation {
+            self.report(ticket, &observation.report, now, effects);
+        }
+        let Some(node) = self.nodes.get_mut(&ticket.node) else {
+            return;
+        };
+        let attempt = ticket.attempt;
+        let mut failing = false;
+        let mut latency = None;
+        match observation.map(|observation| observation.outcome) {
+            Some(Outcome::Success) => latency = node.succeed(attempt, now),
+            Some(Outcome::Failure) => failing = node.fail(attempt, true, now),
+            Some(Outcome::TimedOut) => failing = node.fail(attempt, false, now),
+            Some(Outcome::Refused) => node.refuse(attempt, now),
+            Some(Outcome::Connection) | None => node.cancel(attempt, now),
+        }
+        if node.retired && node.in_flight() == 0 {
+            self.nodes.remove(&ticket.node);
+        } else if failing {
+            self.eject(ticket.node, now);
+        }
+        if let Some(seconds) = latency {
+            let traffic = self.traffic(&ticket.class, now);
+            traffic.attempts.observe(seconds);
+            traffic.latency.record(seconds, now);
+        }
+    }
+
+    /// Marks a target as leaving.
+    pub(crate) fn mark_leaving(
+        &mut self,
+        target: &Target,
+        evidence: Evidence,
+        start: Option<&str>,
+        now: Instant,
+        effects: &mut Effects,
+    ) {
+        let version = self.version;
+        let Some(node) = self.node_mut(target) else {
+            return;
+        };
+        if let Some(start) = start {
+            if node.tenure.is_past(start) {
+                return;
+            }
+            node.learn_start(start, now);
+        }
+        if !node.tenure.mark(evidence, version) {
+            return;
+        }
+        let start = node.tenure.start().map(str::to_owned);
+        let service = self.document.service.clone();
+        log::info!(target: "balance", "{service}: target {target} is leaving ({evidence:?})");
+        effects.departures.push(Departure {
+            service,
+            target: target.clone(),
+            evidence,
+            start,
+        });
+        self.enforce_ejection_cap(now);
+    }
+
+    pub(crate) fn node_mut(&mut self, target: &Target) -> Option<&mut Node> {
+        let mut nodes = self.nodes.values_mut();
+        nodes.find(|node| !node.retired && node.endpoint.id == *target)
+    }
+}
--- a/crates/balance/src/view.rs
+++ b/crates/balance/src/view.rs
@@ -24,7 +24,9 @@
     pub in_flight: u32,
     /// Estimated requests of other entries in flight.
     pub foreign: f64,
-    /// Latency memory, once a request succeeded.
+    /// How many times slower than usual it is, by the latency memory.
+    pub slowdown: f64,
+    /// Average latency, once a request succeeded.
     pub latency: Option<Duration>,
     /// Time since the last answer, once there was one.
     pub last_answer: Option<Duration>,
--- a/crates/balance/tests/all/fixture.rs
+++ b/crates/balance/tests/all/fixture.rs
@@ -32,17 +32,17 @@
     document
 }
 
+/// A pool whose limits belong to it alone.
 pub(crate) fn open(document: Document) -> Pool {
     let metrics = Metrics::register(&Registry::new()).expect("the registry is new");
-    Pool::open(Arc::new(document), Version(1), local(), metrics)
+    let pool = Pool::open(Arc::new(document), Version(1), local(), metrics);
+    pool.allowance().split(Some(1));
+    pool
 }
 
 pub(crate) fn local() -> Local {
-    Local {
-        instance: "entry-1".parse().expect("the name is valid"),
-        zone: "hobart".parse().expect("the name is valid"),
-        departures: None,
-    }
+    let name = "entry-1".parse().expect("the name is valid");
+    Local::new(name, "hobart".parse().expect("the name is valid"))
 }
 
 /// An idempotent call of class `view` with a deadline in `deadline_ms`.
