Add claims of idempotency keys

A non-idempotent request that its caller sends again must not run again.

Deleting the claim row after a lost response was ruled out: the write may still take effect later, so the key stays claimed instead.

--- /dev/null
+++ b/crates/idempotency/src/table.rs
@@ -0,0 +1,187 @@
+//! Claims of callers' own keys in the platform's table.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use carobdrift_platform::{Client, Condition, Error, Put, Row, Transaction};
+use carobdrift_units::Service;
+use carobdrift_wire::{Attempt, Decision, Fingerprint, Key, Recorded};
+use log::warn;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::bucket::Bucket;
+use crate::ledger::RECORDED_BODY_LIMIT;
+use crate::refusal::Refusal;
+
+/// Time for which the end of a claim is tried to be written.
+const END_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Pause between two tries.
+const PAUSE: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+pub(crate) struct Table {
+    platform: Client,
+    writes: Bucket,
+}
+
+/// A claim row that an attempt wrote.
+#[derive(Debug)]
+pub(crate) struct Claimed {
+    row: String,
+    version: u64,
+    value: Value,
+}
+
+/// Value of a claim row.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Value {
+    /// Attempt that wrote the row, as text: JSON numbers can't hold it.
+    attempt: String,
+    fingerprint: u64,
+    /// Absent until the request is known to have run.
+    settled: Option<Settled>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Settled {
+    recorded: Option<Recorded>,
+}
+
+impl Table {
+    pub(crate) fn open(platform: Client, writes_per_second: u32) -> Self {
+        Self {
+            platform,
+            writes: Bucket::new(f64::from(writes_per_second)),
+        }
+    }
+
+    pub(crate) async fn claim(
+        &self,
+        service: &Service,
+        key: &Key,
+        attempt: Attempt,
+        fingerprint: Fingerprint,
+    ) -> Result<Claimed, Refusal> {
+        if !self.writes.take() {
+            return Err(Refusal::RateLimited);
+        }
+        let row = row_key(service, key);
+        let value = Value {
+            attempt: text(attempt),
+            fingerprint: fingerprint.0,
+            settled: None,
+        };
+        let put = transaction(&row, 0, Some(&value))?;
+        let claimed = |version| Claimed {
+            row: row.clone(),
+            version,
+            value: value.clone(),
+        };
+        match self.platform.transact(&put).await {
+            Ok(commit) => {
+                let version = commit.versions.get(&row).copied();
+                Ok(claimed(version.ok_or(Refusal::StoreUnavailable)?))
+            }
+            Err(Error::Conflict(_) | Error::Unknown(_)) => {
+                let found = self.platform.read(&row).await;
+                // Without a row the write may still take effect. The key then
+                // stays claimed, which is safe.
+                let found = found.ok().flatten().ok_or(Refusal::StoreUnavailable)?;
+                let (version, theirs) = parse(found).ok_or(Refusal::StoreUnavailable)?;
+                if theirs.attempt == value.attempt {
+                    return Ok(claimed(version));
+                }
+                Err(refusal(theirs, fingerprint))
+            }
+            Err(Error::Unavailable(_) | Error::Protocol(_)) => Err(Refusal::StoreUnavailable),
+        }
+    }
+
+    pub(crate) async fn settle(&self, mut claimed: Claimed, recorded: Option<Recorded>) {
+        let recorded = recorded.filter(|recorded| recorded.body.len() <= RECORDED_BODY_LIMIT);
+        claimed.value.settled = Some(Settled { recorded });
+        let settle = transaction(&claimed.row, claimed.version, Some(&claimed.value));
+        self.end(settle.ok()).await;
+    }
+
+    pub(crate) async fn release(&self, claimed: Claimed) {
+        let release = transaction(&claimed.row, claimed.version, None);
+        self.end(release.ok()).await;
+    }
+
+    /// Writes the end of a claim. When that fails the key stays claimed.
+    async fn end(&self, transaction: Option<Transaction>) {
+        let Some(transaction) = transaction else {
+            return;
+        };
+        let deadline = Instant::now() + END_TIMEOUT;
+        while self.writes.wait(deadline).await {
+            match self.platform.transact(&transaction).await {
+                // After a lost response the version has moved on: a conflict
+                // means that the write took effect.
+                Ok(_) | Err(Error::Conflict(_)) => return,
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+        warn!(target: "keys", "the end of a claim could not be written; its key stays claimed");
+    }
+}
+
+fn transaction(row: &str, version: u64, value: Option<&Value>) -> Result<Transaction, Refusal> {
+    let key = row.to_owned();
+    let condition = Condition {
+        key: key.clone(),
+        version,
+    };
+    let mut transaction = Transaction {
+        id: text(Attempt(rand::random())),
+        conditions: vec![condition],
+        puts: Vec::new(),
+        deletes: Vec::new(),
+    };
+    match value {
+        Some(value) => {
+            let value = serde_json::to_value(value).map_err(|_| Refusal::StoreUnavailable)?;
+            transaction.puts.push(Put { key, value });
+        }
+        None => transaction.deletes.push(key),
+    }
+    Ok(transaction)
+}
+
+fn parse(row: Row) -> Option<(u64, Value)> {
+    let value = serde_json::from_value(row.value).ok()?;
+    Some((row.version, value))
+}
+
+fn refusal(theirs: Value, fingerprint: Fingerprint) -> Refusal {
+    if theirs.fingerprint != fingerprint.0 {
+        return Refusal::Mismatch;
+    }
+    let decision = match theirs.settled {
+        Some(settled) => Decision::AlreadyRun(settled.recorded),
+        None => Decision::InProgress,
+    };
+    Refusal::from_decision(decision).unwrap_or(Refusal::InProgress)
+}
+
+/// Key of the claim row. Characters with a meaning in a URL are escaped, as the
+/// row's key is part of a path.
+fn row_key(service: &Service, key: &Key) -> String {
+    let mut row = format!("claims/{service}/");
+    for byte in key.as_str().bytes() {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_') {
+            row.push(char::from(byte));
+        } else {
+            // Writing to a string can't fail.
+            let _ = write!(row, "~{byte:02x}");
+        }
+    }
+    row
+}
+
+fn text(attempt: Attempt) -> String {
+    format!("{:032x}", attempt.0)
+}
