--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,8 +1,4 @@
 //! Stand-ins for the platform and for targets, and fixtures for tests.
-//!
-//! Nothing that ships depends on this package.
 
-pub mod caller;
 pub mod platform;
-pub mod process;
 pub mod target;
