--- a/crates/idempotency/src/claims.rs
+++ b/crates/idempotency/src/claims.rs
@@ -85,7 +85,7 @@
 pub(crate) struct Core {
     pub(crate) ledger: Ledger,
     pub(crate) peers: Arc<dyn Peers>,
-    pub(crate) table: Table,
+    pub(crate) table: Arc<Table>,
     pub(crate) metrics: Metrics,
     settings: Settings,
 }
--- a/crates/idempotency/src/table.rs
+++ b/crates/idempotency/src/table.rs
@@ -1,6 +1,6 @@
 //! Claims of callers' own keys in the platform's table.
 
-use std::fmt::Write;
+use std::sync::Arc;
 use std::time::Duration;
 
 use carobdrift_platform::{Client, Condition, Error, Put, Row, Transaction};
@@ -50,15 +50,15 @@
 }
 
 impl Table {
-    pub(crate) fn open(platform: Client, writes_per_second: u32) -> Self {
-        Self {
+    pub(crate) fn open(platform: Client, writes_per_second: u32) -> Arc<Self> {
+        Arc::new(Self {
             platform,
             writes: Bucket::new(f64::from(writes_per_second)),
-        }
+        })
     }
 
     pub(crate) async fn claim(
-        &self,
+        self: &Arc<Self>,
         service: &Service,
         key: &Key,
         attempt: Attempt,
@@ -67,7 +67,7 @@
         if !self.writes.take() {
             return Err(Refusal::RateLimited);
         }
-        let row = row_key(service, key);
+        let row = format!("claims/{service}/{key}");
         let value = Value {
             attempt: text(attempt),
             fingerprint: fingerprint.0,
@@ -85,11 +85,11 @@
                 Ok(claimed(version.ok_or(Refusal::StoreUnavailable)?))
             }
             Err(Error::Conflict(_) | Error::Unknown(_)) => {
-                let found = self.platform.read(&row).await;
-                // Without a row the write may still take effect. The key then
-                // stays claimed, which is safe.
-                let found = found.ok().flatten().ok_or(Refusal::StoreUnavailable)?;
-                let (version, theirs) = parse(found).ok_or(Refusal::StoreUnavailable)?;
+                let found = self.platform.read(&row).await.ok().flatten();
+                let Some((version, theirs)) = found.and_then(parse) else {
+                    self.withdraw_later(row, value);
+                    return Err(Refusal::StoreUnavailable);
+                };
                 if theirs.attempt == value.attempt {
                     return Ok(claimed(version));
                 }
@@ -111,6 +111,31 @@
         self.end(release.ok()).await;
     }
 
+    /// Deletes a claim row that may have been written for an attempt that does
+    /// not run; the write may even take effect later than the first reads.
+    fn withdraw_later(self: &Arc<Self>, row: String, value: Value) {
+        let table = Arc::clone(self);
+        tokio::spawn(async move {
+            let deadline = Instant::now() + END_TIMEOUT;
+            while Instant::now() < deadline {
+                tokio::time::sleep(PAUSE).await;
+                let found = table.platform.read(&row).await.ok().flatten();
+                let Some((version, theirs)) = found.and_then(parse) else {
+                    continue;
+                };
+                if theirs.attempt == value.attempt {
+                    let claimed = Claimed {
+                        row,
+                        version,
+                        value,
+                    };
+                    table.release(claimed).await;
+                }
+                return;
+            }
+        });
+    }
+
     /// Writes the end of a claim. When that fails the key stays claimed.
     async fn end(&self, transaction: Option<Transaction>) {
         let Some(transaction) = transaction else {
@@ -167,21 +192,6 @@
     Refusal::from_decision(decision).unwrap_or(Refusal::InProgress)
 }
 
-/// Key of the claim row. Characters with a meaning in a URL are escaped, as the
-/// row's key is part of a path.
-fn row_key(service: &Service, key: &Key) -> String {
-    let mut row = format!("claims/{service}/");
-    for byte in key.as_str().bytes() {
-        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_') {
-            row.push(char::from(byte));
-        } else {
-            // Writing to a string can't fail.
-            let _ = write!(row, "~{byte:02x}");
-        }
-    }
-    row
-}
-
 fn text(attempt: Attempt) -> String {
     format!("{:032x}", attempt.0)
 }
--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -70,7 +70,10 @@
                 Err(Cause::Connection(_) | Cause::Body(_)) => {}
                 answer => return answer,
             }
-            tokio::time::sleep(rand::rng().random_range(Duration::ZERO..backoff)).await;
+            // Drawn in a statement of its own: the generator must not live
+            // across the await, or the call can't run in a spawned task.
+            let pause = rand::rng().random_range(Duration::ZERO..backoff);
+            tokio::time::sleep(pause).await;
             backoff *= 2;
         }
         self.attempt(deadline, method, path, Bytes::new()).await
