--- a/crates/replay/src/compare.rs
+++ b/crates/replay/src/compare.rs
@@ -13,8 +13,8 @@
 use carobdrift_test_support::fleet;
 use thiserror::Error;
 
-use crate::load::{self, Record};
 use crate::trace::{Block, Trace};
+use carobdrift_test_support::load::{self, Record};
 
 pub use report::{Report, Row, Verdict};
 use setup::Bench;
--- a/crates/replay/src/compare/direct.rs
+++ b/crates/replay/src/compare/direct.rs
@@ -10,8 +10,8 @@
 
 use super::Error;
 use super::setup::Bench;
-use crate::load::DEADLINE;
 use crate::trace::Direct;
+use carobdrift_test_support::load::DEADLINE;
 
 /// Makes service times negligible, so that they do not hide what is added.
 const IDLE_FACTOR: f64 = 0.0;
--- a/crates/replay/src/compare/judge.rs
+++ b/crates/replay/src/compare/judge.rs
@@ -4,8 +4,8 @@
 
 use super::setup::Bench;
 use super::{Error, Turns};
-use crate::load::End;
 use crate::trace::Trace;
+use carobdrift_test_support::load::End;
 
 /// What the targets' records show.
 #[derive(Debug, Clone, Default)]
--- a/crates/replay/src/compare/report.rs
+++ b/crates/replay/src/compare/report.rs
@@ -10,8 +10,8 @@
 use super::Turns;
 use super::direct::Added;
 use super::judge::Evidence;
-use crate::load::{DEADLINE, End, Record};
 use crate::trace::{Expectation, Quantity, Trace};
+use carobdrift_test_support::load::{DEADLINE, End, Record};
 
 /// Everything that a replay led to.
 #[derive(Debug, Serialize)]
--- a/crates/replay/src/compare/setup.rs
+++ b/crates/replay/src/compare/setup.rs
@@ -12,8 +12,8 @@
 use serde_json::{Value, json};
 
 use super::Error;
-use crate::load;
 use crate::trace::{Policy, Service, Trace};
+use carobdrift_test_support::load;
 
 /// Time within which an entry must become ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/crates/test-support/src/bin/quickstart.rs
@@ -0,0 +1,309 @@
+//! Starts a small installation on loopback, uses it, and ends it again.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use carobdrift_test_support::caller::Caller;
+use carobdrift_test_support::fleet::{Fleet, OPERATOR_TOKEN, Service};
+use carobdrift_test_support::load::{self, End, Record, Stream};
+use clap::Parser;
+use eyre::{WrapErr, ensure, eyre};
+use http::Method;
+use serde_json::{Value, json};
+
+/// Availability zones; one entry and one target of each service per zone.
+const ZONES: [&str; 3] = ["hobart", "launceston", "burnie"];
+
+/// Service with idempotent requests.
+const VIEWED: &str = "sheets";
+
+/// Service with non-idempotent requests.
+const SEEDED: &str = "draws";
+
+/// Path of the idempotent requests.
+const VIEW_PATH: &str = "/meets/1/heats/1";
+
+/// Path of the non-idempotent requests.
+const SEED_PATH: &str = "/meets/1/seedings";
+
+/// Calls per second of each service.
+const RATE: f64 = 60.0;
+
+/// Time within which an entry must become ready, and an edit be in force.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Starts the platform stand-in, 6 targets of two services and 3 entries as
+/// separate processes on free loopback ports, calls them, edits a document and
+/// ends all of them.
+#[derive(Parser)]
+struct Arguments {
+    /// Leaves the processes up until Ctrl-C and prints how to call them
+    #[arg(long)]
+    keep: bool,
+    /// Kills one entry with SIGKILL in the middle of the load
+    #[arg(long)]
+    kill_entry: bool,
+    /// Length of the load in seconds
+    #[arg(long, default_value_t = 5.0)]
+    seconds: f64,
+    /// Directory with the service documents
+    #[arg(long, default_value = "examples")]
+    examples: PathBuf,
+    /// Directory for the logs of the entries
+    #[arg(long)]
+    logs: Option<PathBuf>,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<ExitCode> {
+    let arguments = Arguments::parse();
+    let mut fleet = start(&arguments).await?;
+    println!("started:");
+    print_processes(&fleet);
+    for service in [VIEWED, SEEDED] {
+        let body = document(&arguments, &fleet, service)?;
+        let version = put(&fleet, fleet.entries[0].admin, service, 0, &body).await?;
+        println!("document of {service} accepted as version {version}");
+    }
+    let records = call(&arguments, &mut fleet).await?;
+    let in_force = edit(&arguments, &fleet).await?;
+    let complete = summarize(&records, in_force, arguments.kill_entry);
+    if arguments.keep {
+        print_commands(&fleet);
+        tokio::signal::ctrl_c()
+            .await
+            .wrap_err("can't wait for Ctrl-C")?;
+    }
+    Ok(if complete {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn start(arguments: &Arguments) -> eyre::Result<Fleet> {
+    if let Some(logs) = &arguments.logs {
+        std::fs::create_dir_all(logs).wrap_err("log directory can't be created")?;
+    }
+    let mut fleet = Fleet::spawn(&ZONES, arguments.logs.clone()).await?;
+    for name in [VIEWED, SEEDED] {
+        let service = Service {
+            name: name.to_owned(),
+            targets: 3,
+            slots: 2,
+            zones: ZONES.map(str::to_owned).to_vec(),
+            mean_ms: 10.0,
+            sigma: 0.5,
+            noise: None,
+        };
+        fleet.start_targets(&service).await?;
+    }
+    for _ in ZONES {
+        fleet.start_entry(&[]).await?;
+    }
+    for entry in &fleet.entries {
+        let ready = fleet.wait_ready(entry.admin, LIMIT).await;
+        ensure!(ready, "{} did not become ready", entry.id);
+    }
+    Ok(fleet)
+}
+
+fn document(arguments: &Arguments, fleet: &Fleet, service: &str) -> eyre::Result<Value> {
+    let path = arguments.examples.join(format!("{service}.json"));
+    let text = std::fs::read_to_string(&path)
+        .wrap_err_with(|| format!("{} can't be read", path.display()))?;
+    let mut body: Value =
+        serde_json::from_str(&text).wrap_err_with(|| format!("{} is not JSON", path.display()))?;
+    body["targets"] = fleet.target_rows(service);
+    Ok(body)
+}
+
+async fn put(
+    fleet: &Fleet,
+    admin: SocketAddr,
+    service: &str,
+    expected: u64,
+    body: &Value,
+) -> eyre::Result<u64> {
+    let path = format!("/v1/documents/{service}?expected_version={expected}");
+    let (status, answer) = fleet.admin(admin, Method::PUT, &path, Some(body)).await?;
+    ensure!(
+        status.is_success(),
+        "document of {service} refused: {status} {answer}"
+    );
+    answer["version"]
+        .as_u64()
+        .ok_or_else(|| eyre!("answer names no version: {answer}"))
+}
+
+/// Sends both kinds of calls from each availability zone.
+async fn call(arguments: &Arguments, fleet: &mut Fleet) -> eyre::Result<Vec<Record>> {
+    let discovery: Vec<SocketAddr> = fleet.entries.iter().map(|entry| entry.admin).collect();
+    let callers: Vec<Caller> = ZONES
+        .iter()
+        .map(|zone| Caller::open(zone, discovery.clone()))
+        .collect();
+    let streams = [
+        Stream {
+            service: VIEWED.to_owned(),
+            method: Method::GET,
+            path: VIEW_PATH.to_owned(),
+            rate: RATE,
+            keyed: false,
+        },
+        Stream {
+            service: SEEDED.to_owned(),
+            method: Method::POST,
+            path: SEED_PATH.to_owned(),
+            rate: RATE,
+            keyed: true,
+        },
+    ];
+    let length = Duration::try_from_secs_f64(arguments.seconds)?;
+    let load = tokio::spawn(async move { load::run(&streams, &callers, length, 1).await });
+    if arguments.kill_entry {
+        tokio::time::sleep(length / 2).await;
+        println!("killing {}", fleet.entries[2].id);
+        fleet.kill_entry(2).await?;
+    }
+    Ok(load.await?)
+}
+
+/// Edits a document through the first entry and returns the time until it is in
+/// force on all that run.
+async fn edit(arguments: &Arguments, fleet: &Fleet) -> eyre::Result<Duration> {
+    let path = format!("/v1/documents/{VIEWED}");
+    let admin = fleet.entries[0].admin;
+    let (_, current) = fleet.admin(admin, Method::GET, &path, None).await?;
+    let version = current["version"].as_u64().unwrap_or_default();
+    let mut body = document(arguments, fleet, VIEWED)?;
+    body["retries"] = json!({"max_attempts": 2, "budget_percent": 5});
+    let version = put(fleet, admin, VIEWED, version, &body).await?;
+    let accepted = Instant::now();
+    let running = if arguments.kill_entry { 2 } else { 3 };
+    for entry in &fleet.entries[..running] {
+        loop {
+            let (_, held) = fleet.admin(entry.admin, Method::GET, &path, None).await?;
+            if held["version"].as_u64() >= Some(version) {
+                break;
+            }
+            ensure!(
+                accepted.elapsed() < LIMIT,
+                "the edit is not in force on {}",
+                entry.id
+            );
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    println!("edit of {VIEWED} accepted as version {version} and in force on {running} entries");
+    Ok(accepted.elapsed())
+}
+
+/// Prints the closing table. Returns whether every call got its whole answer;
+/// with a killed entry, calls in progress on it may have broken.
+fn summarize(records: &[Record], in_force: Duration, killed: bool) -> bool {
+    let whole = records
+        .iter()
+        .filter(|record| record.end == End::Whole)
+        .count();
+    let broken = records
+        .iter()
+        .filter(|record| record.end == End::Broken)
+        .count();
+    let mut latencies: Vec<Duration> = records.iter().map(|record| record.latency).collect();
+    latencies.sort_unstable();
+    let quantile = |percent: usize| {
+        let index = latencies.len() * percent / 100;
+        latencies
+            .get(index)
+            .copied()
+            .unwrap_or_default()
+            .as_secs_f64()
+            * 1000.0
+    };
+    println!();
+    println!(
+        "calls                                  {:>10}",
+        records.len()
+    );
+    println!("whole answers                          {whole:>10}");
+    println!("broken with their entry                {broken:>10}");
+    println!(
+        "p50 ms                                 {:>10.1}",
+        quantile(50)
+    );
+    println!(
+        "p99 ms                                 {:>10.1}",
+        quantile(99)
+    );
+    println!(
+        "seconds until the edit was in force    {:>10.3}",
+        in_force.as_secs_f64()
+    );
+    for record in records.iter().filter(|record| record.end != End::Whole) {
+        println!("not whole: {record:?}");
+    }
+    if killed {
+        whole + broken == records.len()
+    } else {
+        whole == records.len()
+    }
+}
+
+fn print_processes(fleet: &Fleet) {
+    let platform = fleet.platform_process.pid();
+    println!(
+        "  platform stand-in  pid {platform}  {}",
+        fleet.platform_address
+    );
+    for target in &fleet.targets {
+        println!(
+            "  {}  pid {}  {}",
+            target.id,
+            target.process.pid(),
+            target.address
+        );
+    }
+    for entry in &fleet.entries {
+        println!(
+            "  {}  pid {}  callers {}  administration {}",
+            entry.id,
+            entry.process.pid(),
+            entry.caller,
+            entry.admin
+        );
+    }
+}
+
+fn print_commands(fleet: &Fleet) {
+    let entry = &fleet.entries[0];
+    let (admin, caller) = (entry.admin, entry.caller);
+    println!("\nread a document:");
+    println!(
+        "  curl -H 'Authorization: Bearer {OPERATOR_TOKEN}' http://{admin}/v1/documents/{VIEWED}"
+    );
+    println!("ask which entries to use:");
+    println!(
+        "  curl 'http://{admin}/v1/addresses?service={VIEWED}&zone={}'",
+        entry.zone
+    );
+    println!("send an idempotent call:");
+    println!("  curl -H 'Host: {VIEWED}' http://{caller}{VIEW_PATH}");
+    println!("send a non-idempotent call (use the key prefix of the address answer):");
+    println!(
+        "  curl -X POST -H 'Host: {SEEDED}' -H 'Idempotency-Key: PREFIX.1' http://{caller}{SEED_PATH}"
+    );
+    println!("edit a document (save and change the \"document\" of the first call):");
+    println!(
+        "  curl -X PUT -H 'Authorization: Bearer {OPERATOR_TOKEN}' -H 'Content-Type: application/json' --data @document.json 'http://{admin}/v1/documents/{VIEWED}?expected_version=2'"
+    );
+    println!("see where it is in force:");
+    println!(
+        "  curl -H 'Authorization: Bearer {OPERATOR_TOKEN}' http://{admin}/v1/documents/{VIEWED}/status"
+    );
+    println!("read the metrics:");
+    println!("  curl http://{admin}/metrics");
+    println!("\nCtrl-C ends all processes.");
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod target;
--- a/crates/replay/src/load.rs
+++ b/crates/test-support/src/load.rs
@@ -3,8 +3,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::caller::{Answer, Call, Caller, Error};
 use bytes::Bytes;
-use carobdrift_test_support::caller::{Answer, Call, Caller, Error};
 use http::Method;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
