--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -1,3 +1,4 @@
 //! Replays traces against real entries and measures them.
 
+pub mod compare;
 pub mod trace;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -3,6 +3,8 @@
 //! Nothing that ships depends on this package.
 
 pub mod caller;
+pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod process;
 pub mod target;
