Test the links between entries through cut connections

The tests run several entries in one process. A relay in front of each peer listener drops, stalls or passes the bytes of either direction, for one dialling instance or for all, so one-way cuts and links that go silent can be told apart from closed ones.

--- /dev/null
+++ b/crates/membership/tests/all/admission.rs
@@ -0,0 +1,110 @@
+//! Guards against links with processes that are not entries of the cell, or
+//! not the entry that was dialled.
+
+use std::time::Duration;
+
+use carobdrift_membership::Peer;
+use tokio::io::AsyncReadExt;
+
+use crate::fixture::{Shape, cell, listing, stand_in, start, start_as, until};
+
+struct Case {
+    name: &'static str,
+    /// How `b`, which `a` dials, differs.
+    shape: Shape,
+    /// Label under which `a` counts the failed dials.
+    dial: &'static str,
+    /// Label under which `b` counts the refused connections.
+    refusal: &'static str,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn foreign_processes_are_refused() {
+    let cases = [
+        Case {
+            name: "another secret",
+            shape: Shape {
+                secret: "guessed",
+                ..Shape::default()
+            },
+            dial: "socket",
+            refusal: "socket",
+        },
+        Case {
+            name: "a prefix of the secret",
+            shape: Shape {
+                secret: "peers",
+                ..Shape::default()
+            },
+            dial: "socket",
+            refusal: "socket",
+        },
+        Case {
+            name: "another cell",
+            shape: Shape {
+                cell: "other",
+                ..Shape::default()
+            },
+            dial: "refused",
+            refusal: "refused",
+        },
+    ];
+    for case in cases {
+        let stand_in = stand_in().await;
+        let b = start_as(&stand_in, "b", &case.shape).await;
+        let a = start(&stand_in, "a").await;
+
+        until(case.name, Duration::from_secs(5), || {
+            a.count("carobdrift_link_dials_total", case.dial) >= 2
+                && b.count("carobdrift_link_refused_total", case.refusal) >= 2
+        })
+        .await;
+
+        let peer = a.peer("b").unwrap();
+        assert!(!peer.connected && peer.heard.is_none(), "{}", case.name);
+        assert_eq!(a.count("carobdrift_link_dials_total", "opened"), 0);
+        let admitted = |peer: Peer| peer.incarnation.is_some();
+        assert!(!b.peer("a").is_some_and(admitted), "{}", case.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_listed_address_that_leads_to_another_entry_gives_no_link() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, &["a", "b"]).await;
+    // A list that lags: `ghost` had the address that `b` has now, and `twin`
+    // the one that `a` has now.
+    stand_in.put_instance(listing("ghost", nodes[1].relay.address()));
+    stand_in.put_instance(listing("twin", nodes[0].relay.address()));
+
+    until("both are dialled", Duration::from_secs(5), || {
+        nodes[0].count("carobdrift_link_dials_total", "other-instance") >= 1
+            && nodes[0].count("carobdrift_link_dials_total", "refused") >= 1
+    })
+    .await;
+
+    for name in ["ghost", "twin"] {
+        let peer = nodes[0].peer(name).unwrap();
+        assert!(!peer.connected && peer.heard.is_none(), "{name}");
+    }
+    assert!(nodes[0].hears("b", Duration::from_secs(2)));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_that_does_not_introduce_itself_is_closed() {
+    let stand_in = stand_in().await;
+    let node = start(&stand_in, "a").await;
+    let mut stream = tokio::net::TcpStream::connect(node.relay.address())
+        .await
+        .unwrap();
+    tokio::io::AsyncWriteExt::write_all(&mut stream, b"GET / HTTP/1.1\r\n\r\n")
+        .await
+        .unwrap();
+
+    let mut answer = Vec::new();
+    let closed =
+        tokio::time::timeout(Duration::from_secs(3), stream.read_to_end(&mut answer)).await;
+
+    assert!(closed.is_ok());
+    assert!(node.links.peers().is_empty());
+}
--- /dev/null
+++ b/crates/membership/tests/all/failure.rs
@@ -0,0 +1,242 @@
+//! Guards against links that stay dead, against a dead link that looks alive,
+//! and against a slow peer that costs memory or other links.
+
+use std::time::{Duration, Instant};
+
+use carobdrift_membership::{Confirmation, QueryError, Serving};
+use carobdrift_test_support::relay::{Flow, Flows};
+use carobdrift_units::{Revision, Version};
+use carobdrift_wire::{Copy, Frame, Query};
+use tokio::time::sleep;
+
+use crate::fixture::{Shape, cell, id, stand_in, start_behind, until};
+
+const FRESH: Duration = Duration::from_millis(1_200);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_link_is_replaced() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, &["a", "b"]).await;
+    // Connections that carry bytes now stay silent; later ones work.
+    nodes[1].relay.set(Flows::CUT);
+    sleep(Duration::from_millis(700)).await;
+    nodes[1].relay.set(Flows::default());
+    let start = Instant::now();
+
+    until("a hears b again", Duration::from_secs(4), || {
+        nodes[0].hears("b", Duration::from_millis(300))
+    })
+    .await;
+
+    assert!(start.elapsed() > Duration::from_secs(1));
+    assert_eq!(nodes[0].count("carobdrift_link_closed_total", "silent"), 1);
+    assert_eq!(nodes[1].count("carobdrift_link_closed_total", "silent"), 0);
+}
+
+struct Cut {
+    name: &'static str,
+    /// Flows of the link that `a` opens to `b`.
+    flows: Flows,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_in_one_direction_shows_on_one_side() {
+    let cuts = [
+        Cut {
+            name: "pings of a are lost",
+            flows: Flows {
+                forth: Flow::Silent,
+                back: Flow::Pass,
+            },
+        },
+        Cut {
+            name: "pongs of b are lost",
+            flows: Flows {
+                forth: Flow::Pass,
+                back: Flow::Silent,
+            },
+        },
+        Cut {
+            name: "pongs of b are held back",
+            flows: Flows {
+                forth: Flow::Pass,
+                back: Flow::Stall,
+            },
+        },
+    ];
+    for cut in cuts {
+        let stand_in = stand_in().await;
+        let nodes = cell(&stand_in, &["a", "b", "c"]).await;
+
+        nodes[1].relay.set_for("a", cut.flows);
+        sleep(Duration::from_millis(2_600)).await;
+
+        let [a, b, c] = &nodes[..] else {
+            unreachable!()
+        };
+        assert!(!a.hears("b", FRESH), "{}", cut.name);
+        assert!(b.hears("a", FRESH), "{}", cut.name);
+        assert!(c.hears("b", FRESH) && b.hears("c", FRESH), "{}", cut.name);
+
+        b.relay.set_for("a", Flows::default());
+        until("the link is back", Duration::from_secs(4), || {
+            a.hears("b", FRESH)
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_queue_closes_its_link_only() {
+    let stand_in = stand_in().await;
+    let mut nodes = cell(&stand_in, &["a", "b", "c"]).await;
+    let mut c = nodes.pop().unwrap();
+    tokio::spawn(async move { while c.inbox.recv().await.is_some() {} });
+    let [a, b] = &nodes[..] else { unreachable!() };
+    b.relay.set(Flows {
+        forth: Flow::Stall,
+        back: Flow::Pass,
+    });
+    let copy = Copy {
+        service: "sheets".parse().unwrap(),
+        version: Version(1),
+        body: "x".repeat(32 * 1024),
+    };
+
+    // 2,000 frames of 32 KiB exceed the queue and what sockets buffer.
+    let mut queries = tokio::task::JoinSet::new();
+    for _ in 0..2_000 {
+        let links = a.links.clone();
+        let copy = copy.clone();
+        queries.spawn(async move {
+            let query = Query::Adopt {
+                copy,
+                revision: Revision(1),
+            };
+            links.query(&id("b"), query, Duration::from_secs(1)).await
+        });
+    }
+    let results = queries.join_all().await;
+
+    let full = |result: &&Result<_, QueryError>| matches!(result, Err(QueryError::QueueFull(_)));
+    assert!(results.iter().filter(full).count() >= 1);
+    assert!(results.iter().all(Result::is_err));
+    assert_eq!(a.count("carobdrift_link_closed_total", "queue-full"), 1);
+    assert!(a.hears("c", FRESH));
+
+    b.relay.set(Flows::default());
+    until("the link is back", Duration::from_secs(4), || {
+        a.hears("b", FRESH)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restarted_entry_inherits_no_status() {
+    let stand_in = stand_in().await;
+    let mut nodes = cell(&stand_in, &["a", "b"]).await;
+    let b = nodes.pop().unwrap();
+    let a = &nodes[0];
+    b.links.publish_confirmation(Confirmation {
+        revision: Revision(7),
+        at: Some(Instant::now()),
+        store_reachable: true,
+        recovered: true,
+    });
+    until("a knows the revision of b", Duration::from_secs(2), || {
+        a.peer("b").unwrap().revision == Revision(7)
+    })
+    .await;
+    let before = a.peer("b").unwrap().incarnation;
+
+    let relay = b.relay;
+    drop((b.links, b.inbox));
+    let _b = start_behind(&stand_in, "b", &Shape::default(), relay).await;
+
+    until("a hears the new process", Duration::from_secs(5), || {
+        let peer = a.peer("b").unwrap();
+        peer.incarnation != before && peer.heard.is_some()
+    })
+    .await;
+    let peer = a.peer("b").unwrap();
+    assert_eq!(peer.revision, Revision(0));
+    assert_eq!(peer.status.unwrap().confirmed, None);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_stated_age_grows_while_nothing_is_published() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, &["a", "b"]).await;
+    let [a, b] = &nodes[..] else { unreachable!() };
+    let at = Instant::now();
+    b.links.publish(Serving {
+        ready: true,
+        ..Serving::default()
+    });
+    b.links.publish_confirmation(Confirmation {
+        at: Some(at),
+        ..Confirmation::default()
+    });
+
+    sleep(Duration::from_secs(2)).await;
+
+    let peer = a.peer("b").unwrap();
+    let status = peer.status.unwrap();
+    assert!(status.ready);
+    let age = status.confirmed.unwrap().duration();
+    // What the pong confirms is never later than the published moment.
+    assert!(
+        peer.heard.unwrap().checked_sub(age).unwrap() <= at,
+        "{age:?}"
+    );
+    assert!(age >= Duration::from_millis(1_200), "{age:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_peer_that_left_and_is_gone_is_forgotten() {
+    let stand_in = stand_in().await;
+    let mut nodes = cell(&stand_in, &["a", "b", "c"]).await;
+    drop(nodes.pop());
+    sleep(Duration::from_secs(11)).await;
+    assert!(nodes[0].peer("c").is_some(), "c is still on the list");
+    assert_eq!(nodes[0].links.cell_size(), 3);
+
+    stand_in.remove_instance("c");
+    // `b` can be reached, so it stays although it is off the list.
+    stand_in.remove_instance("b");
+
+    until("c is forgotten", Duration::from_secs(6), || {
+        nodes[0].peer("c").is_none()
+    })
+    .await;
+    let b = nodes[0].peer("b").unwrap();
+    assert!(b.connected && !b.member);
+    assert_eq!(nodes[0].links.cell_size(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frames_reach_every_peer_in_order() {
+    let stand_in = stand_in().await;
+    let mut nodes = cell(&stand_in, &["a", "b", "c"]).await;
+    let announce = |version| Frame::Announce {
+        service: "sheets".parse().unwrap(),
+        version: Version(version),
+        revision: Revision(version),
+    };
+
+    for version in 1..=100 {
+        nodes[0].links.broadcast(&announce(version));
+    }
+
+    for node in &mut nodes[1..] {
+        for version in 1..=100 {
+            let inbound = tokio::time::timeout(Duration::from_secs(2), node.inbox.recv())
+                .await
+                .unwrap()
+                .unwrap();
+            assert_eq!(inbound.from, id("a"));
+            assert_eq!(inbound.frame, announce(version));
+            assert!(inbound.reply.is_none());
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/all/fixture.rs
@@ -0,0 +1,170 @@
+//! Entries whose connections pass through relays.
+
+use std::time::{Duration, Instant};
+
+use carobdrift_membership::{Inbox, Links, Metrics, Peer, Secret, Settings};
+use carobdrift_platform::Client;
+use carobdrift_test_support::platform::{self, Listing, StandIn};
+use carobdrift_test_support::relay::Relay;
+use carobdrift_units::{Incarnation, Instance};
+use prometheus::Registry;
+
+pub(crate) const SECRET: &str = "peers only";
+
+/// The links of one entry; peers reach it through its relay.
+pub(crate) struct Node {
+    pub(crate) links: Links,
+    pub(crate) inbox: Inbox,
+    pub(crate) relay: Relay,
+    pub(crate) registry: Registry,
+}
+
+/// How an entry differs from the usual one.
+#[derive(Debug, Clone)]
+pub(crate) struct Shape {
+    pub(crate) cell: &'static str,
+    pub(crate) secret: &'static str,
+    pub(crate) listed: bool,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            cell: "main",
+            secret: SECRET,
+            listed: true,
+        }
+    }
+}
+
+pub(crate) fn id(name: &str) -> Instance {
+    name.parse().unwrap()
+}
+
+pub(crate) async fn stand_in() -> StandIn {
+    StandIn::bind(platform::Settings::default()).await.unwrap()
+}
+
+pub(crate) fn client(stand_in: &StandIn) -> Client {
+    Client::open(carobdrift_platform::Settings {
+        address: stand_in.address(),
+        timeout: Duration::from_secs(1),
+    })
+}
+
+/// Row of the instance list for an entry of the cell `main`.
+pub(crate) fn listing(name: &str, peer: std::net::SocketAddr) -> Listing {
+    let unused = "127.0.0.1:9".parse().unwrap();
+    Listing::entry(
+        &id(name),
+        "main".parse().unwrap(),
+        "hobart".parse().unwrap(),
+        "tasmania".parse().unwrap(),
+        [unused, unused, peer],
+    )
+}
+
+pub(crate) async fn start(stand_in: &StandIn, name: &str) -> Node {
+    start_as(stand_in, name, &Shape::default()).await
+}
+
+pub(crate) async fn start_as(stand_in: &StandIn, name: &str, shape: &Shape) -> Node {
+    let relay = Relay::bind().await.unwrap();
+    if shape.listed {
+        stand_in.put_instance(listing(name, relay.address()));
+    }
+    start_behind(stand_in, name, shape, relay).await
+}
+
+pub(crate) async fn start_behind(
+    stand_in: &StandIn,
+    name: &str,
+    shape: &Shape,
+    relay: Relay,
+) -> Node {
+    let unused = "127.0.0.1:9".parse().unwrap();
+    let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let listen = probe.local_addr().unwrap();
+    drop(probe);
+    let settings = Settings {
+        instance: id(name),
+        incarnation: Incarnation::draw(),
+        cell: shape.cell.parse().unwrap(),
+        zone: "hobart".parse().unwrap(),
+        caller: unused,
+        admin: unused,
+        listen,
+        advertise: Some(relay.address()),
+        secret: Secret::new(shape.secret.to_owned()),
+    };
+    let registry = Registry::new();
+    let metrics = Metrics::register(&registry).unwrap();
+    let (links, inbox) = Links::bind(settings, client(stand_in), metrics)
+        .await
+        .unwrap();
+    relay.set_target(listen);
+    Node {
+        links,
+        inbox,
+        relay,
+        registry,
+    }
+}
+
+/// Entries on the instance list.
+pub(crate) async fn cell(stand_in: &StandIn, names: &[&str]) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for name in names {
+        nodes.push(start(stand_in, name).await);
+    }
+    for node in &nodes {
+        until("all links are open", Duration::from_secs(5), || {
+            let peers = node.links.peers();
+            peers.len() == names.len() - 1 && peers.iter().all(|peer| peer.heard.is_some())
+        })
+        .await;
+    }
+    nodes
+}
+
+impl Node {
+    pub(crate) fn peer(&self, name: &str) -> Option<Peer> {
+        let peers = self.links.peers();
+        peers
+            .into_iter()
+            .find(|peer| peer.instance.as_str() == name)
+    }
+
+    pub(crate) fn hears(&self, name: &str, window: Duration) -> bool {
+        self.peer(name)
+            .is_some_and(|peer| peer.heard_within(window, Instant::now()))
+    }
+
+    /// Value of a counter with one label.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "counters are small whole numbers"
+    )]
+    pub(crate) fn count(&self, metric: &str, label: &str) -> u64 {
+        let sum: f64 = self
+            .registry
+            .gather()
+            .iter()
+            .filter(|family| family.name() == metric)
+            .flat_map(|family| family.get_metric().to_vec())
+            .filter(|sample| sample.get_label().iter().any(|pair| pair.value() == label))
+            .map(|sample| sample.get_counter().get_value())
+            .sum();
+        sum as u64
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, limit: Duration, condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < limit, "not within {limit:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the links, several entries in one process over loopback.
+
+mod admission;
+mod failure;
+mod fixture;
+mod list;
+mod query;
--- /dev/null
+++ b/crates/membership/tests/all/query.rs
@@ -0,0 +1,153 @@
+//! Guards against queries that wait for ever, get the answer of another one,
+//! or hide that the peer may have acted on them.
+
+use std::time::{Duration, Instant};
+
+use carobdrift_membership::QueryError;
+use carobdrift_test_support::relay::Flows;
+use carobdrift_units::{Revision, Version};
+use carobdrift_wire::{Answer, Copy, FRAME_LIMIT, Frame, Query};
+
+use crate::fixture::{cell, id, stand_in};
+
+fn adopt(revision: u64, body: String) -> Query {
+    Query::Adopt {
+        copy: Copy {
+            service: "sheets".parse().unwrap(),
+            version: Version(1),
+            body,
+        },
+        revision: Revision(revision),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_go_to_their_queries() {
+    let stand_in = stand_in().await;
+    let mut nodes = cell(&stand_in, &["a", "b"]).await;
+    let mut b = nodes.pop().unwrap();
+    let a = &nodes[0];
+    // Answers in reverse order, each with the revision of its query.
+    tokio::spawn(async move {
+        let mut waiting = Vec::new();
+        while let Some(inbound) = b.inbox.recv().await {
+            waiting.push(inbound);
+            if waiting.len() == 50 {
+                break;
+            }
+        }
+        for inbound in waiting.into_iter().rev() {
+            let Frame::Query {
+                query: Query::Adopt { revision, .. },
+                ..
+            } = inbound.frame
+            else {
+                continue;
+            };
+            inbound.reply.unwrap().send(Answer::Versions {
+                revision,
+                versions: Vec::new(),
+                unreadable: Vec::new(),
+                current: false,
+            });
+        }
+    });
+
+    let mut queries = tokio::task::JoinSet::new();
+    for number in 0..50 {
+        let links = a.links.clone();
+        queries.spawn(async move {
+            let query = adopt(number, String::new());
+            let answer = links.query(&id("b"), query, Duration::from_secs(3)).await;
+            (number, answer)
+        });
+    }
+
+    for (number, answer) in queries.join_all().await {
+        let Ok(Answer::Versions { revision, .. }) = answer else {
+            panic!("{answer:?}")
+        };
+        assert_eq!(revision, Revision(number));
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Obstacle {
+    NoPeer,
+    TooLarge,
+    NoAnswer,
+    ReplyDropped,
+    LinkDies,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unanswered_queries_end_with_their_cause() {
+    let cases = [
+        (Obstacle::NoPeer, "NotConnected", 100),
+        (Obstacle::TooLarge, "Encode", 1_000),
+        (Obstacle::NoAnswer, "TimedOut", 500),
+        (Obstacle::ReplyDropped, "TimedOut", 500),
+        (Obstacle::LinkDies, "Closed", 3_500),
+    ];
+    for (obstacle, expected, limit) in cases {
+        let stand_in = stand_in().await;
+        let mut nodes = cell(&stand_in, &["a", "b"]).await;
+        let mut b = nodes.pop().unwrap();
+        let (mut peer, mut body) = (id("b"), String::new());
+        let mut timeout = Duration::from_millis(300);
+        match obstacle {
+            Obstacle::NoPeer => peer = id("z"),
+            Obstacle::TooLarge => body = "x".repeat(FRAME_LIMIT),
+            Obstacle::NoAnswer => {}
+            Obstacle::ReplyDropped => {
+                tokio::spawn(async move { while b.inbox.recv().await.is_some() {} });
+            }
+            Obstacle::LinkDies => {
+                b.relay.set(Flows::CUT);
+                timeout = Duration::from_secs(10);
+            }
+        }
+        let start = Instant::now();
+
+        let answer = nodes[0].links.query(&peer, adopt(1, body), timeout).await;
+
+        let error = answer.unwrap_err();
+        let name = match &error {
+            QueryError::NotConnected(_) => "NotConnected",
+            QueryError::QueueFull(_) => "QueueFull",
+            QueryError::Encode(_) => "Encode",
+            QueryError::TimedOut(_) => "TimedOut",
+            QueryError::Closed(_) => "Closed",
+        };
+        assert_eq!(name, expected, "{obstacle:?}: {error}");
+        let elapsed = start.elapsed();
+        assert!(
+            elapsed < Duration::from_millis(limit),
+            "{obstacle:?}: {elapsed:?}"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_is_too_large_becomes_unavailable() {
+    let stand_in = stand_in().await;
+    let mut nodes = cell(&stand_in, &["a", "b"]).await;
+    let mut b = nodes.pop().unwrap();
+    tokio::spawn(async move {
+        while let Some(inbound) = b.inbox.recv().await {
+            inbound.reply.unwrap().send(Answer::Document(Some(Copy {
+                service: "sheets".parse().unwrap(),
+                version: Version(1),
+                body: "x".repeat(FRAME_LIMIT),
+            })));
+        }
+    });
+
+    let query = Query::Versions;
+    let answer = nodes[0]
+        .links
+        .query(&id("b"), query, Duration::from_secs(2))
+        .await;
+
+    assert_eq!(answer.unwrap(), Answer::Unavailable);
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod load;
 pub mod platform;
 pub mod process;
+pub mod relay;
 pub mod target;
