--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -1,4 +1,5 @@
 //! Replays traces against real entries and measures them.
 
 pub mod compare;
+pub mod slopes;
 pub mod trace;
--- a/crates/replay/src/main.rs
+++ b/crates/replay/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use carobdrift_replay::compare;
+use carobdrift_replay::slopes::{self, Experiment};
 use carobdrift_replay::trace::Trace;
 use clap::{Parser, Subcommand};
 use eyre::WrapErr;
@@ -20,6 +21,23 @@
 enum Command {
     /// Replays a trace, compares policies and checks the stated outcomes
     Compare(Compare),
+    /// Measures what an entry costs against the sizes that it depends on
+    Slopes(Slopes),
+}
+
+#[derive(Parser)]
+struct Slopes {
+    /// Sizes to vary; all when none is named
+    sizes: Vec<Experiment>,
+    /// Directory with the service documents
+    #[arg(long, default_value = "examples")]
+    examples: PathBuf,
+    /// Directory for the logs of the entries
+    #[arg(long)]
+    logs: Option<PathBuf>,
+    /// Prints one JSON object in place of the table
+    #[arg(long)]
+    json: bool,
 }
 
 #[derive(Parser)]
@@ -42,6 +60,19 @@
 async fn main() -> eyre::Result<ExitCode> {
     match Arguments::parse().command {
         Command::Compare(command) => command.execute().await,
+        Command::Slopes(command) => command.execute().await,
+    }
+}
+
+impl Slopes {
+    async fn execute(self) -> eyre::Result<ExitCode> {
+        let report = slopes::run(&self.examples, self.logs.as_deref(), &self.sizes).await?;
+        if self.json {
+            println!("{}", serde_json::to_string(&report)?);
+        } else {
+            print!("{report}");
+        }
+        Ok(ExitCode::SUCCESS)
     }
 }
 
--- a/crates/test-support/src/fleet.rs
+++ b/crates/test-support/src/fleet.rs
@@ -345,6 +345,18 @@
         Ok((status, value))
     }
 
+    /// The metrics of an entry as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer.
+    pub async fn metrics(&self, entry: &Entry) -> Result<String, Error> {
+        let (_, body) = self
+            .send(entry.admin, Method::GET, "/metrics", Bytes::new())
+            .await?;
+        Ok(String::from_utf8_lossy(&body).into_owned())
+    }
+
     /// Waits until an entry is ready. Returns whether it is in time.
     pub async fn wait_ready(&self, admin: SocketAddr, limit: Duration) -> bool {
         let ready = async {
