Make the platform's calls spawnable

The random generator of the backoff was held across the pause, so the futures of all reads were not Send and the links did not compile against the client. A test spawns a read and a write.

The stand-in sends its responses without Nagle's delay.

--- a/crates/platform/src/transport.rs
+++ b/crates/platform/src/transport.rs
@@ -70,7 +70,8 @@
                 Err(Cause::Connection(_) | Cause::Body(_)) => {}
                 answer => return answer,
             }
-            tokio::time::sleep(rand::rng().random_range(Duration::ZERO..backoff)).await;
+            let pause = rand::rng().random_range(Duration::ZERO..backoff);
+            tokio::time::sleep(pause).await;
             backoff *= 2;
         }
         self.attempt(deadline, method, path, Bytes::new()).await
--- a/crates/platform/tests/all/table.rs
+++ b/crates/platform/tests/all/table.rs
@@ -133,6 +133,21 @@
     assert!(matches!(&after[0], Listed::Entry(entry) if entry.state == State::Leaving));
 }
 
+/// Guards against calls that tasks of a multi-threaded runtime can't make.
+#[tokio::test]
+async fn calls_can_be_spawned() {
+    let (_stand_in, client) = start().await;
+
+    let write = tokio::spawn({
+        let client = client.clone();
+        async move { client.transact(&create()).await }
+    });
+    write.await.unwrap().unwrap();
+    let read = tokio::spawn(async move { client.read("a").await });
+
+    assert!(read.await.unwrap().unwrap().is_some());
+}
+
 #[tokio::test]
 async fn calls_are_counted_by_outcome() {
     let (_stand_in, client) = start().await;
--- a/crates/test-support/src/platform/stand_in.rs
+++ b/crates/test-support/src/platform/stand_in.rs
@@ -211,6 +211,8 @@
                 return;
             }
         };
+        // Without it small responses wait for delayed acknowledgements.
+        let _ = stream.set_nodelay(true);
         let number = shared.accepted.fetch_add(1, Ordering::SeqCst);
         let connection = Connection::new(stream, number, Arc::clone(&shared.silent_below));
         let shared = Arc::clone(shared);
