Add the commands check, document and addresses

Operators had no way to validate a document offline or to reach the administration API. check prints every fault by file and path; document and addresses call the API through a small hyper-util client. put requires the version that was read, draws an edit id when none is given, and tells apart accepted, rejected, not sent and unknown; unknown has exit status 3 and comes with the commands that ask again. Reads move on to the next entry on any failure of transport, put only when no connection opened.

--- a/crates/units/src/name.rs
+++ b/crates/units/src/name.rs
@@ -151,3 +151,11 @@
     /// Id of an edit, chosen by the operator or issued by the API.
     EditId, ID_LIMIT, "-._"
 );
+
+impl EditId {
+    /// Draws a random id for an edit whose operator chose none.
+    #[must_use]
+    pub fn draw() -> Self {
+        Self(format!("{:032x}", rand::random::<u128>()).into())
+    }
+}
--- a/crates/units/tests/all/name.rs
+++ b/crates/units/tests/all/name.rs
@@ -1,7 +1,7 @@
 //! Guards against identifiers that are accepted in one place and refused in
 //! another, and against text that does not survive a round trip.
 
-use carobdrift_units::{Fault, Service, Target};
+use carobdrift_units::{EditId, Fault, Service, Target};
 
 #[test]
 fn invalid_names_are_refused_with_their_fault() {
@@ -55,3 +55,13 @@
     assert_eq!(good.unwrap().as_str(), "sheets");
     assert!(bad.is_err());
 }
+
+/// Guards against drawn ids that a later command line or URL refuses.
+#[test]
+fn drawn_edit_ids_are_valid_and_differ() {
+    let first = EditId::draw();
+    let second = EditId::draw();
+
+    assert_eq!(first.as_str().parse(), Ok(first.clone()));
+    assert_ne!(first, second);
+}
--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,262 @@
+//! A small client of the administration API.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use bytes::Bytes;
+use carobdrift_units::Millis;
+use clap::Args;
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderValue, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use serde_json::Value;
+use thiserror::Error;
+
+/// Largest response that is read, in bytes.
+const RESPONSE_LIMIT: usize = 16 * 1024 * 1024;
+
+/// How to reach the administration API.
+#[derive(Debug, Args)]
+pub(crate) struct Settings {
+    /// Addresses of the administration API of entries, separated by commas; the
+    /// next one is used when connecting to one fails
+    #[arg(
+        long,
+        env = "CAROBDRIFT_API",
+        value_name = "IP:PORT",
+        value_delimiter = ',',
+        required = true
+    )]
+    api: Vec<SocketAddr>,
+
+    /// Bearer token of a team or of the operator; prefer the environment
+    /// variable, because other users of the machine may see command lines
+    #[arg(
+        long,
+        env = "CAROBDRIFT_API_TOKEN",
+        value_name = "TOKEN",
+        hide_env_values = true
+    )]
+    api_token: Option<Token>,
+
+    /// Milliseconds within which each call must be answered; accepting an edit
+    /// takes up to 2 s when entries of the cell don't respond
+    #[arg(
+        long,
+        env = "CAROBDRIFT_API_TIMEOUT_MS",
+        value_name = "MS",
+        default_value = "10000"
+    )]
+    api_timeout_ms: Millis,
+}
+
+/// A bearer token; never shown.
+#[derive(Clone)]
+struct Token(String);
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Token")
+    }
+}
+
+impl FromStr for Token {
+    type Err = Infallible;
+
+    /// Takes any text: the argument parser prints values that are refused.
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(Self(text.to_owned()))
+    }
+}
+
+impl Token {
+    fn header(&self) -> Result<HeaderValue, TokenError> {
+        if self.0.is_empty() || !self.0.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(TokenError);
+        }
+        let mut value =
+            HeaderValue::try_from(format!("Bearer {}", self.0)).map_err(|_| TokenError)?;
+        value.set_sensitive(true);
+        Ok(value)
+    }
+}
+
+/// The token is not usable. Its text is not shown.
+#[derive(Debug, Error)]
+#[error("a token has at least one character and visible ASCII characters only")]
+pub(crate) struct TokenError;
+
+/// A call that brought no usable response.
+#[derive(Debug, Error)]
+pub(crate) enum Error {
+    /// No connection could be opened; the call did not reach any entry.
+    #[error("could not connect to {address}: {source}")]
+    Connect {
+        address: SocketAddr,
+        source: hyper_util::client::legacy::Error,
+    },
+    /// The connection broke after the call was sent.
+    #[error("the connection to {address} broke: {source}")]
+    Broken {
+        address: SocketAddr,
+        source: hyper_util::client::legacy::Error,
+    },
+    /// The response broke off or is too large.
+    #[error("the response of {address} broke off: {source}")]
+    Body {
+        address: SocketAddr,
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+    /// There was no response in time.
+    #[error("{address} did not respond within {timeout} ms")]
+    TimedOut {
+        address: SocketAddr,
+        timeout: Millis,
+    },
+    /// The response is not the expected JSON.
+    #[error("{address} answered with status {status} and no readable JSON: {source}")]
+    Malformed {
+        address: SocketAddr,
+        status: StatusCode,
+        source: serde_json::Error,
+    },
+    /// The call could not be built.
+    #[error("malformed call: {0}")]
+    Request(#[from] http::Error),
+    /// The API refused the call.
+    #[error("{0}")]
+    Refused(Box<Refusal>),
+}
+
+/// A typed refusal of the API.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Refusal {
+    #[serde(skip)]
+    pub(crate) status: StatusCode,
+    /// Kind of the refusal, such as `conflict`.
+    #[serde(alias = "error_code")]
+    pub(crate) error: Option<String>,
+    /// What happened, for people.
+    pub(crate) message: String,
+    #[serde(default)]
+    pub(crate) current_version: Option<u64>,
+    #[serde(default)]
+    pub(crate) faults: Vec<Fault>,
+}
+
+/// A fault of a document as the API reports it.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Fault {
+    pub(crate) path: String,
+    pub(crate) problem: String,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = self.error.as_deref().unwrap_or("refused");
+        write!(f, "{kind} ({}): {}", self.status.as_u16(), self.message)
+    }
+}
+
+/// Client of the administration API.
+pub(crate) struct Client {
+    settings: Settings,
+    authorization: Option<HeaderValue>,
+    http: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Opens a client; connections are opened on demand.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the token is not usable.
+    pub(crate) fn open(settings: Settings) -> Result<Self, TokenError> {
+        let authorization = settings.api_token.as_ref().map(Token::header);
+        let http = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build_http();
+        Ok(Self {
+            settings,
+            authorization: authorization.transpose()?,
+            http,
+        })
+    }
+
+    /// Reads a resource from the first entry that answers.
+    pub(crate) async fn get(&self, path: &str) -> Result<Value, Error> {
+        self.call(&Method::GET, path, &Bytes::new()).await
+    }
+
+    /// Sends a document to the first entry to which a connection opens.
+    pub(crate) async fn put(&self, path: &str, body: &Bytes) -> Result<Value, Error> {
+        self.call(&Method::PUT, path, body).await
+    }
+
+    async fn call(&self, method: &Method, path: &str, body: &Bytes) -> Result<Value, Error> {
+        let mut addresses = self.settings.api.iter().peekable();
+        loop {
+            // The argument parser requires at least one address.
+            let address = *addresses.next().unwrap_or(&self.settings.api[0]);
+            let last = addresses.peek().is_none();
+            match self.call_one(address, method, path, body).await {
+                Err(Error::Connect { .. }) if !last => {}
+                Err(Error::TimedOut { .. } | Error::Broken { .. } | Error::Body { .. })
+                    if !last && method.is_safe() => {}
+                result => return result,
+            }
+        }
+    }
+
+    async fn call_one(
+        &self,
+        address: SocketAddr,
+        method: &Method,
+        path: &str,
+        body: &Bytes,
+    ) -> Result<Value, Error> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(value) = &self.authorization {
+            request = request.header(AUTHORIZATION, value);
+        }
+        let request = request.body(Full::new(body.clone()))?;
+        let exchange = async {
+            let response = self.http.request(request).await.map_err(|source| {
+                if source.is_connect() {
+                    Error::Connect { address, source }
+                } else {
+                    Error::Broken { address, source }
+                }
+            })?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), RESPONSE_LIMIT)
+                .collect()
+                .await
+                .map_err(|source| Error::Body { address, source })?;
+            Ok((status, body.to_bytes()))
+        };
+        let timeout = self.settings.api_timeout_ms;
+        let (status, bytes) = tokio::time::timeout(timeout.duration(), exchange)
+            .await
+            .unwrap_or(Err(Error::TimedOut { address, timeout }))?;
+        let malformed = |source| Error::Malformed {
+            address,
+            status,
+            source,
+        };
+        if status.is_success() {
+            return serde_json::from_slice(&bytes).map_err(malformed);
+        }
+        let mut refusal: Refusal = serde_json::from_slice(&bytes).map_err(malformed)?;
+        refusal.status = status;
+        Err(Error::Refused(Box::new(refusal)))
+    }
+}
