Add the administration and discovery API

Operators and callers could not reach an entry.

A team sees and edits its own services only. Ownership is checked on the document in force, on the new one, and again when the edit is based on a version that this instance does not have yet, because that version may belong to another team.

Steering ranks ready entries by rendezvous hashing. An answer says how many of its addresses the caller should spread its calls over, because a caller that only uses the first one would never reach the entries that a doubling added.

--- /dev/null
+++ b/crates/admin/src/discovery.rs
@@ -0,0 +1,125 @@
+//! Addresses for callers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carobdrift_units::{Instance, Millis, Service, Zone};
+use dropshot::{HttpResponseOk, Query, RequestContext, endpoint};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::backend::{Backend, Entry};
+use crate::context::{Context, no_document};
+use crate::refusal::{Kind, Refusal};
+use crate::steering::Candidate;
+
+/// Silence after which a peer is no longer part of an answer; links close at
+/// the same time.
+const SILENCE: Duration = Duration::from_secs(2);
+
+#[derive(Deserialize, JsonSchema)]
+pub(crate) struct AddressQuery {
+    /// Service that the caller wants to call.
+    service: Service,
+    /// Availability zone of the caller.
+    zone: Zone,
+}
+
+/// An entry that takes calls.
+#[derive(Serialize, JsonSchema)]
+struct Destination {
+    #[schemars(with = "String")]
+    address: SocketAddr,
+    instance: Instance,
+    zone: Zone,
+    /// Whether the callers of the service are steered to it; the others are
+    /// fallbacks.
+    steered: bool,
+}
+
+#[derive(Serialize, JsonSchema)]
+pub(crate) struct Answer {
+    service: Service,
+    /// Time for which the answer may be kept.
+    ttl_ms: Millis,
+    /// How many addresses, from the start, the caller should spread its calls
+    /// over. The others are for when these fail, in their order.
+    preferred: usize,
+    addresses: Vec<Destination>,
+    /// Prefix for idempotency keys; absent while this instance is leaving,
+    /// because its keys can't be claimed once it is gone.
+    key_prefix: Option<String>,
+}
+
+/// List the addresses that a caller of a service should use.
+#[endpoint { method = GET, path = "/v1/addresses" }]
+pub(crate) async fn list_addresses(
+    request: RequestContext<Context>,
+    query: Query<AddressQuery>,
+) -> Result<HttpResponseOk<Answer>, Refusal> {
+    let context = request.context();
+    let AddressQuery { service, zone } = query.into_inner();
+    let backend = &context.backend;
+    let held = backend
+        .held(&service)
+        .ok_or_else(|| no_document(&service))?;
+    let steering = &held.document.steering;
+    let mut entries = serving(backend.as_ref());
+    let candidates: Vec<Candidate> = entries
+        .values()
+        .map(|entry| Candidate {
+            instance: entry.instance.clone(),
+            zone: entry.zone.clone(),
+            rate: rate(entry, &service),
+        })
+        .collect();
+    let order = context
+        .steering
+        .order(&service, &zone, steering.entries_per_zone, &candidates);
+    let addresses: Vec<Destination> = order
+        .instances
+        .iter()
+        .enumerate()
+        .filter_map(|(index, instance)| {
+            entries.remove(instance).map(|entry| Destination {
+                address: entry.caller,
+                instance: entry.instance,
+                zone: entry.zone,
+                steered: index < order.steered,
+            })
+        })
+        .collect();
+    if addresses.is_empty() {
+        let message = "no entry that this instance hears is ready";
+        return Err(Refusal::new(Kind::Unavailable, message));
+    }
+    let leaving = backend.itself().status.leaving;
+    Ok(HttpResponseOk(Answer {
+        service,
+        ttl_ms: steering.ttl_ms,
+        preferred: order.preferred,
+        addresses,
+        key_prefix: (!leaving).then(|| backend.key_prefix()),
+    }))
+}
+
+/// Entries that take calls now, as far as this one knows.
+fn serving(backend: &dyn Backend) -> HashMap<Instance, Entry> {
+    std::iter::once(backend.itself())
+        .chain(backend.peers())
+        .filter(|entry| entry.status.ready && !entry.status.leaving)
+        .filter(|entry| entry.heard.is_some_and(|silent| silent < SILENCE))
+        .map(|entry| (entry.instance.clone(), entry))
+        .collect()
+}
+
+fn rate(entry: &Entry, service: &Service) -> f64 {
+    entry
+        .status
+        .rates
+        .iter()
+        .filter(|rate| rate.service == *service)
+        .map(|rate| rate.per_second)
+        .sum()
+}
--- /dev/null
+++ b/crates/admin/src/documents.rs
@@ -0,0 +1,376 @@
+//! Reads and edits of documents.
+
+use carobdrift_document::Document;
+use carobdrift_units::{EditId, Instance, Millis, Revision, Service, Team, Version};
+use dropshot::{HttpResponseOk, Path, Query, RequestContext, UntypedBody, endpoint};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::backend::{Edit, Held, Standing};
+use crate::context::{Context, no_document, permit};
+use crate::refusal::{Kind, Refusal};
+use crate::tokens::Identity;
+
+#[derive(Deserialize, JsonSchema)]
+pub(crate) struct ServicePath {
+    /// Name of the service.
+    pub(crate) service: Service,
+}
+
+#[derive(Deserialize, JsonSchema)]
+pub(crate) struct VersionPath {
+    /// Name of the service.
+    service: Service,
+    /// Version of its document.
+    version: Version,
+}
+
+#[derive(Deserialize, JsonSchema)]
+pub(crate) struct EditPath {
+    /// Id of the edit.
+    edit_id: EditId,
+}
+
+#[derive(Deserialize, JsonSchema)]
+pub(crate) struct EditQuery {
+    /// Version that the edit is based on; 0 for a new service.
+    expected_version: Version,
+    /// Id of the edit, chosen by the operator; drawn when absent.
+    edit_id: Option<EditId>,
+}
+
+/// One service in the list of documents.
+#[derive(Serialize, JsonSchema)]
+struct Listed {
+    service: Service,
+    team: Team,
+    version: Version,
+}
+
+#[derive(Serialize, JsonSchema)]
+pub(crate) struct Documents {
+    documents: Vec<Listed>,
+    #[serde(flatten)]
+    currency: Currency,
+}
+
+/// How current the documents in force on this instance are.
+#[derive(Serialize, JsonSchema)]
+struct Currency {
+    /// Kind of confirmation.
+    standing: Named,
+    /// Milliseconds since the documents were known to be the newest; only with
+    /// standing `confirmed`.
+    confirmed_ms: Option<Millis>,
+}
+
+/// Name of a standing.
+#[derive(Serialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+enum Named {
+    /// The documents were the newest at most 5 s ago.
+    Confirmed,
+    /// The store can't be reached, and no entry that is heard has newer ones.
+    Outage,
+    /// Newer documents may exist.
+    Unconfirmed,
+}
+
+impl From<Standing> for Currency {
+    fn from(standing: Standing) -> Self {
+        let (standing, confirmed_ms) = match standing {
+            Standing::Confirmed { age } => (Named::Confirmed, Some(age.into())),
+            Standing::Outage => (Named::Outage, None),
+            Standing::Unconfirmed => (Named::Unconfirmed, None),
+        };
+        Self {
+            standing,
+            confirmed_ms,
+        }
+    }
+}
+
+/// A document in force.
+#[derive(Serialize, JsonSchema)]
+pub(crate) struct Current {
+    /// The document with all defaults.
+    document: Document,
+    /// Its version.
+    version: Version,
+    #[serde(flatten)]
+    currency: Currency,
+}
+
+/// A document that was in force once.
+#[derive(Serialize, JsonSchema)]
+pub(crate) struct PastDocument {
+    /// The document with all defaults.
+    document: Document,
+    /// Its version.
+    version: Version,
+}
+
+/// An accepted version.
+#[derive(Serialize, JsonSchema)]
+struct Change {
+    version: Version,
+    /// Edit that made it.
+    edit_id: EditId,
+}
+
+#[derive(Serialize, JsonSchema)]
+pub(crate) struct History {
+    service: Service,
+    /// Newest first.
+    versions: Vec<Change>,
+}
+
+/// What one instance has in force.
+#[derive(Serialize, JsonSchema)]
+struct InstanceVersion {
+    instance: Instance,
+    /// Version in force there; absent without a document or an answer.
+    version: Option<Version>,
+    /// Whether the instance answered.
+    answered: bool,
+}
+
+#[derive(Serialize, JsonSchema)]
+pub(crate) struct Status {
+    service: Service,
+    /// Version in force on the instance that was asked.
+    version: Version,
+    instances: Vec<InstanceVersion>,
+}
+
+/// An edit that took effect.
+#[derive(Serialize, JsonSchema)]
+pub(crate) struct AcceptedEdit {
+    service: Service,
+    /// Version that the edit made.
+    version: Version,
+    /// Position in the change log.
+    revision: Revision,
+    edit_id: EditId,
+    /// Instances that have the version in force so far.
+    in_force: u32,
+    /// Instances of the cell.
+    cell_size: u32,
+}
+
+/// Outcome of an accepted edit.
+#[derive(Serialize, JsonSchema)]
+pub(crate) struct EditOutcome {
+    edit_id: EditId,
+    service: Service,
+    /// Version that the edit made.
+    version: Version,
+}
+
+/// List the documents in force that the caller may see.
+#[endpoint { method = GET, path = "/v1/documents" }]
+pub(crate) async fn list_documents(
+    request: RequestContext<Context>,
+) -> Result<HttpResponseOk<Documents>, Refusal> {
+    let context = request.context();
+    let identity = context.identify(&request)?;
+    let mut documents: Vec<Listed> = context
+        .backend
+        .documents()
+        .into_iter()
+        .filter(|held| permit(identity, &held.document.team).is_ok())
+        .map(|held| Listed {
+            service: held.document.service.clone(),
+            team: held.document.team.clone(),
+            version: held.version,
+        })
+        .collect();
+    documents.sort_by(|a, b| a.service.cmp(&b.service));
+    Ok(HttpResponseOk(Documents {
+        documents,
+        currency: context.backend.standing().into(),
+    }))
+}
+
+/// Read the document in force of a service.
+#[endpoint { method = GET, path = "/v1/documents/{service}" }]
+pub(crate) async fn read_document(
+    request: RequestContext<Context>,
+    path: Path<ServicePath>,
+) -> Result<HttpResponseOk<Current>, Refusal> {
+    let context = request.context();
+    let held = context.visible(&request, &path.into_inner().service)?;
+    Ok(HttpResponseOk(Current {
+        document: Document::clone(&held.document),
+        version: held.version,
+        currency: context.backend.standing().into(),
+    }))
+}
+
+/// Replace the document of a service. The body is the document as JSON.
+#[endpoint { method = PUT, path = "/v1/documents/{service}" }]
+pub(crate) async fn edit_document(
+    request: RequestContext<Context>,
+    path: Path<ServicePath>,
+    query: Query<EditQuery>,
+    body: UntypedBody,
+) -> Result<HttpResponseOk<AcceptedEdit>, Refusal> {
+    let context = request.context();
+    let identity = context.identify(&request)?;
+    let service = path.into_inner().service;
+    let query = query.into_inner();
+    let expected = query.expected_version;
+    let held = context.backend.held(&service);
+    if let Some(held) = &held {
+        permit(identity, &held.document.team)?;
+    }
+    let document = Document::parse(body.as_bytes())?;
+    document.check(&context.ceilings)?;
+    if document.service != service {
+        let message = format!("the document is of service {}", document.service);
+        return Err(Refusal::new(Kind::Malformed, message));
+    }
+    permit(identity, &document.team)?;
+    if *identity != Identity::Operator {
+        require_owner_known(held.as_ref(), expected, &service)?;
+    }
+    let id = query.edit_id.unwrap_or_else(EditId::draw);
+    let edit = Edit {
+        id: id.clone(),
+        document,
+        expected,
+    };
+    match context.backend.edit(edit).await {
+        Ok(accepted) => {
+            log::info!(
+                target: "admin",
+                "Edit {id} made version {} of service {service}.",
+                accepted.version
+            );
+            Ok(HttpResponseOk(AcceptedEdit {
+                service,
+                version: accepted.version,
+                revision: accepted.revision,
+                edit_id: id,
+                in_force: accepted.in_force,
+                cell_size: accepted.cell_size,
+            }))
+        }
+        Err(error) => {
+            log::warn!(target: "admin", "Edit {id} of service {service} failed: {error}.");
+            Err(Refusal::of_edit(&error, id))
+        }
+    }
+}
+
+/// Refuses an edit that is based on a newer version than this entry has. The
+/// newer version may belong to another team.
+fn require_owner_known(
+    held: Option<&Held>,
+    expected: Version,
+    service: &Service,
+) -> Result<(), Refusal> {
+    let known = held.map_or(Version::NONE, |held| held.version);
+    if known >= expected {
+        return Ok(());
+    }
+    Err(Refusal::new(
+        Kind::Unavailable,
+        format!(
+            "this instance has version {known} of service {service}, not yet {expected}; \
+             nothing was written"
+        ),
+    ))
+}
+
+/// List the accepted versions of a service.
+#[endpoint { method = GET, path = "/v1/documents/{service}/history" }]
+pub(crate) async fn list_history(
+    request: RequestContext<Context>,
+    path: Path<ServicePath>,
+) -> Result<HttpResponseOk<History>, Refusal> {
+    let context = request.context();
+    let service = path.into_inner().service;
+    context.visible(&request, &service)?;
+    let versions = context.backend.history(service.clone()).await?;
+    let versions = versions
+        .into_iter()
+        .map(|past| Change {
+            version: past.version,
+            edit_id: past.edit,
+        })
+        .collect();
+    Ok(HttpResponseOk(History { service, versions }))
+}
+
+/// Read the document of a past version.
+#[endpoint { method = GET, path = "/v1/documents/{service}/history/{version}" }]
+pub(crate) async fn read_past_document(
+    request: RequestContext<Context>,
+    path: Path<VersionPath>,
+) -> Result<HttpResponseOk<PastDocument>, Refusal> {
+    let context = request.context();
+    let VersionPath { service, version } = path.into_inner();
+    context.visible(&request, &service)?;
+    let document = context.backend.past(service.clone(), version).await?;
+    let document = document.ok_or_else(|| {
+        let message = format!("service {service} has no version {version}");
+        Refusal::new(Kind::NotFound, message)
+    })?;
+    Ok(HttpResponseOk(PastDocument { document, version }))
+}
+
+/// Show which version is in force on which instance of the cell.
+#[endpoint { method = GET, path = "/v1/documents/{service}/status" }]
+pub(crate) async fn read_status(
+    request: RequestContext<Context>,
+    path: Path<ServicePath>,
+) -> Result<HttpResponseOk<Status>, Refusal> {
+    let context = request.context();
+    let service = path.into_inner().service;
+    let held = context.visible(&request, &service)?;
+    let mut instances: Vec<InstanceVersion> = context
+        .backend
+        .in_force(service.clone())
+        .await
+        .into_iter()
+        .map(|answer| InstanceVersion {
+            instance: answer.instance,
+            version: answer.version,
+            answered: answer.answered,
+        })
+        .collect();
+    instances.sort_by(|a, b| a.instance.cmp(&b.instance));
+    Ok(HttpResponseOk(Status {
+        service,
+        version: held.version,
+        instances,
+    }))
+}
+
+/// Read the outcome of an edit. An edit that is not found was not accepted so
+/// far.
+#[endpoint { method = GET, path = "/v1/edits/{edit_id}" }]
+pub(crate) async fn read_edit(
+    request: RequestContext<Context>,
+    path: Path<EditPath>,
+) -> Result<HttpResponseOk<EditOutcome>, Refusal> {
+    let context = request.context();
+    let identity = context.identify(&request)?;
+    let edit_id = path.into_inner().edit_id;
+    let outcome = context.backend.outcome(edit_id.clone()).await?;
+    let outcome = outcome.ok_or_else(|| {
+        let message = format!("no edit {edit_id} was accepted so far");
+        Refusal::new(Kind::NotFound, message)
+    })?;
+    if *identity != Identity::Operator {
+        let held = context.backend.held(&outcome.service);
+        let held = held.ok_or_else(|| no_document(&outcome.service))?;
+        permit(identity, &held.document.team)?;
+    }
+    Ok(HttpResponseOk(EditOutcome {
+        edit_id,
+        service: outcome.service,
+        version: outcome.version,
+    }))
+}
--- /dev/null
+++ b/crates/admin/tests/all/addresses.rs
@@ -0,0 +1,123 @@
+//! Guards against address answers that hold an entry which takes no calls,
+//! or that send all callers elsewhere when one entry joins.
+
+use std::time::Duration;
+
+use carobdrift_admin::Entry;
+use serde_json::json;
+
+use crate::fixture::{Fixture, entry, with_rate};
+
+const PATH: &str = "/v1/addresses?service=sheets&zone=burnie";
+
+fn cell() -> Vec<Entry> {
+    let zones = ["hobart", "launceston", "burnie"];
+    (2..=15)
+        .map(|index| entry(&format!("entry-{index}"), zones[(index - 1) % 3]))
+        .collect()
+}
+
+/// Instances of an answer, and how many of them are preferred and steered.
+async fn ask(fixture: &Fixture) -> (Vec<(String, String)>, usize, usize) {
+    let (status, answer) = fixture.get(PATH, None).await;
+    assert_eq!(status, 200, "{answer}");
+    let addresses = answer["addresses"].as_array().unwrap();
+    let text = |value: &serde_json::Value| value.as_str().unwrap().to_owned();
+    let instances = addresses
+        .iter()
+        .map(|address| (text(&address["instance"]), text(&address["zone"])))
+        .collect();
+    let steered = addresses.iter().filter(|a| a["steered"] == json!(true));
+    let preferred = answer["preferred"].as_u64().unwrap();
+    (
+        instances,
+        usize::try_from(preferred).unwrap(),
+        steered.count(),
+    )
+}
+
+#[tokio::test]
+async fn one_entry_per_zone_with_that_of_the_caller_first() {
+    let fixture = Fixture::start();
+    fixture.backend.change(|state| state.peers = cell());
+
+    let (instances, preferred, steered) = ask(&fixture).await;
+
+    assert_eq!((instances.len(), preferred, steered), (15, 1, 3));
+    let mut zones: Vec<&str> = instances[..3].iter().map(|(_, zone)| &**zone).collect();
+    assert_eq!(zones[0], "burnie");
+    zones.sort_unstable();
+    assert_eq!(zones, ["burnie", "hobart", "launceston"]);
+    assert_eq!(ask(&fixture).await.0, instances);
+}
+
+#[tokio::test]
+async fn entries_that_take_no_calls_are_gone_at_once() {
+    let fixture = Fixture::start();
+    fixture.backend.change(|state| state.peers = cell());
+    let first = ask(&fixture).await.0[0].0.clone();
+    let changes: [fn(&mut Entry); 4] = [
+        |entry| entry.status.leaving = true,
+        |entry| entry.status.ready = false,
+        |entry| entry.heard = None,
+        |entry| entry.heard = Some(Duration::from_secs(2)),
+    ];
+    for change in changes {
+        fixture.backend.change(|state| {
+            state.peers = cell();
+            let mut peers = state.peers.iter_mut();
+            change(peers.find(|p| p.instance.as_str() == first).unwrap());
+        });
+
+        let (instances, preferred, _) = ask(&fixture).await;
+
+        assert_eq!(instances.len(), 14);
+        assert!(!instances.iter().any(|(instance, _)| *instance == first));
+        // The next one of the same zone takes over.
+        assert_eq!((instances[0].1.as_str(), preferred), ("burnie", 1));
+    }
+}
+
+#[tokio::test]
+async fn leaving_entry_names_the_others_and_issues_no_key_prefix() {
+    let fixture = Fixture::start();
+    let (_, before) = fixture.get(PATH, None).await;
+    fixture.backend.change(|state| {
+        state.peers = cell();
+        state.itself.status.leaving = true;
+    });
+
+    let (_, answer) = fixture.get(PATH, None).await;
+
+    assert_eq!(before["key_prefix"], json!("cd1.prefix"));
+    assert_eq!(answer["key_prefix"], json!(null));
+    assert_eq!(answer["ttl_ms"], json!(5000));
+    let addresses = answer["addresses"].as_array().unwrap();
+    assert!(addresses.iter().all(|a| a["instance"] != json!("entry-1")));
+}
+
+#[tokio::test]
+async fn no_ready_entry_is_an_error() {
+    let fixture = Fixture::start();
+    fixture
+        .backend
+        .change(|state| state.itself.status.ready = false);
+
+    let (status, answer) = fixture.get(PATH, None).await;
+
+    assert_eq!(status, 503);
+    assert_eq!(answer["error"], json!("unavailable"));
+}
+
+#[tokio::test]
+async fn busy_service_gets_more_entries() {
+    let fixture = Fixture::start();
+    fixture.backend.change(|state| {
+        let busy = |peer: Entry| with_rate(peer, "sheets", 1000.0);
+        state.peers = cell().into_iter().map(busy).collect();
+    });
+
+    let (_, preferred, steered) = ask(&fixture).await;
+
+    assert_eq!((preferred, steered), (2, 6));
+}
--- /dev/null
+++ b/crates/admin/tests/all/fixture.rs
@@ -0,0 +1,268 @@
+//! A server with a fake backend, and a client for it.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use carobdrift_admin::{
+    Accepted, Backend, Edit, EditError, Entry, Held, InForce, Outcome, Past, ReadError, Server,
+    Settings, Standing, Tokens,
+};
+use carobdrift_balance::{Evidence, TargetView};
+use carobdrift_document::{Ceilings, Document};
+use carobdrift_units::{EditId, PerSecond, Revision, Service, Version};
+use carobdrift_wire::{Rate, Status};
+use futures_util::future::{BoxFuture, ready};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioExecutor;
+use prometheus::{IntCounter, Registry};
+use serde_json::{Value, json};
+
+pub(crate) const OPERATOR: &str = "operator-token-0001";
+pub(crate) const MEETS: &str = "meets-token-000001";
+pub(crate) const DRAWS: &str = "draws-token-000001";
+
+/// Document of a service as JSON.
+pub(crate) fn body(service: &str, team: &str) -> Value {
+    json!({
+        "service": service,
+        "team": team,
+        "targets": [{"id": "t-1", "address": "10.2.0.11:8080", "zone": "hobart", "slots": 2}],
+        "routes": [{"name": "view", "methods": ["GET"], "path": "/heats/*",
+                    "kind": "idempotent", "class": "view", "deadline_ms": 400}],
+        "classes": [{"name": "view", "weight": 4, "max_queue": 200}]
+    })
+}
+
+pub(crate) fn document(service: &str, team: &str) -> Document {
+    Document::parse(body(service, team).to_string().as_bytes()).unwrap()
+}
+
+/// A ready entry that was just heard.
+pub(crate) fn entry(instance: &str, zone: &str) -> Entry {
+    Entry {
+        instance: instance.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        caller: "127.0.0.1:1000".parse().unwrap(),
+        admin: "127.0.0.1:1001".parse().unwrap(),
+        status: Status {
+            ready: true,
+            ..Status::default()
+        },
+        heard: Some(Duration::ZERO),
+    }
+}
+
+pub(crate) fn with_rate(mut entry: Entry, service: &str, per_second: f64) -> Entry {
+    let service = service.parse().unwrap();
+    entry.status.rates.push(Rate {
+        service,
+        per_second,
+    });
+    entry
+}
+
+/// State that the fake shows; a test changes it before or between calls.
+pub(crate) struct State {
+    pub(crate) held: Vec<Held>,
+    pub(crate) standing: Standing,
+    pub(crate) itself: Entry,
+    pub(crate) peers: Vec<Entry>,
+    pub(crate) store_down: bool,
+    pub(crate) edit: Result<Accepted, EditError>,
+    pub(crate) edits: Vec<Edit>,
+}
+
+pub(crate) struct Fake(Mutex<State>);
+
+impl Fake {
+    pub(crate) fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.0.lock().unwrap());
+    }
+
+    pub(crate) fn edits(&self) -> Vec<Edit> {
+        self.0.lock().unwrap().edits.clone()
+    }
+
+    fn read<T: Send + 'static>(&self, value: T) -> BoxFuture<'_, Result<T, ReadError>> {
+        let down = self.0.lock().unwrap().store_down;
+        Box::pin(ready(if down {
+            Err(ReadError::Unavailable)
+        } else {
+            Ok(value)
+        }))
+    }
+}
+
+impl Backend for Fake {
+    fn documents(&self) -> Vec<Held> {
+        self.0.lock().unwrap().held.clone()
+    }
+
+    fn held(&self, service: &Service) -> Option<Held> {
+        let mut all = self.documents().into_iter();
+        all.find(|held| held.document.service == *service)
+    }
+
+    fn standing(&self) -> Standing {
+        self.0.lock().unwrap().standing
+    }
+
+    fn itself(&self) -> Entry {
+        self.0.lock().unwrap().itself.clone()
+    }
+
+    fn peers(&self) -> Vec<Entry> {
+        self.0.lock().unwrap().peers.clone()
+    }
+
+    fn targets(&self, service: &Service) -> Option<Vec<TargetView>> {
+        self.held(service)?;
+        Some(vec![TargetView {
+            target: "t-1".parse().unwrap(),
+            address: "10.2.0.11:8080".parse().unwrap(),
+            zone: "hobart".parse().unwrap(),
+            slots: 2,
+            standing: carobdrift_balance::Standing::Leaving(Evidence::Response),
+            in_flight: 1,
+            foreign: 0.5,
+            slowdown: 1.0,
+            latency: Some(Duration::from_micros(1500)),
+            last_answer: None,
+            cold: false,
+            start: None,
+        }])
+    }
+
+    fn key_prefix(&self) -> String {
+        "cd1.prefix".to_owned()
+    }
+
+    fn edit(&self, edit: Edit) -> BoxFuture<'_, Result<Accepted, EditError>> {
+        let mut state = self.0.lock().unwrap();
+        state.edits.push(edit);
+        Box::pin(ready(state.edit.clone()))
+    }
+
+    fn history(&self, _: Service) -> BoxFuture<'_, Result<Vec<Past>, ReadError>> {
+        self.read(vec![Past {
+            version: Version(3),
+            edit: "e-3".parse().unwrap(),
+        }])
+    }
+
+    fn past(
+        &self,
+        service: Service,
+        version: Version,
+    ) -> BoxFuture<'_, Result<Option<Document>, ReadError>> {
+        self.read((version == Version(2)).then(|| document(service.as_str(), "lanemark-meets")))
+    }
+
+    fn outcome(&self, id: EditId) -> BoxFuture<'_, Result<Option<Outcome>, ReadError>> {
+        self.read((id.as_str() == "e-3").then(|| Outcome {
+            service: "sheets".parse().unwrap(),
+            version: Version(3),
+        }))
+    }
+
+    fn in_force(&self, _: Service) -> BoxFuture<'_, Vec<InForce>> {
+        let answers = [
+            ("entry-2", None, false),
+            ("entry-1", Some(Version(3)), true),
+        ]
+        .map(|(instance, version, answered)| InForce {
+            instance: instance.parse().unwrap(),
+            version,
+            answered,
+        });
+        Box::pin(ready(answers.to_vec()))
+    }
+}
+
+/// A running server with one document: `sheets` of `lanemark-meets`, version 3.
+pub(crate) struct Fixture {
+    pub(crate) backend: Arc<Fake>,
+    server: Server,
+}
+
+impl Fixture {
+    pub(crate) fn start() -> Self {
+        let held = Held {
+            document: Arc::new(document("sheets", "lanemark-meets")),
+            version: Version(3),
+        };
+        let backend = Arc::new(Fake(Mutex::new(State {
+            held: vec![held],
+            standing: Standing::Confirmed {
+                age: Duration::from_millis(120),
+            },
+            itself: entry("entry-1", "hobart"),
+            peers: Vec::new(),
+            store_down: false,
+            edit: Ok(Accepted {
+                version: Version(4),
+                revision: Revision(9),
+                in_force: 14,
+                cell_size: 15,
+            }),
+            edits: Vec::new(),
+        })));
+        let registry = Registry::new();
+        let counter = IntCounter::new("carobdrift_probes_total", "Probes sent.").unwrap();
+        registry.register(Box::new(counter)).unwrap();
+        let teams = [
+            format!("lanemark-meets={MEETS}"),
+            format!("lanemark-draws={DRAWS}"),
+        ];
+        let settings = Settings {
+            address: "127.0.0.1:0".parse().unwrap(),
+            tokens: Tokens::parse(Some(OPERATOR), &teams).unwrap(),
+            ceilings: Ceilings::default(),
+            steered_rate: PerSecond::try_from(4000.0).unwrap(),
+            registry,
+        };
+        let server = Server::bind(settings, Arc::clone(&backend) as Arc<dyn Backend>).unwrap();
+        Self { backend, server }
+    }
+
+    /// Calls the API; a body that is not JSON is returned as a JSON string.
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        token: Option<&str>,
+        body: &str,
+    ) -> (StatusCode, Value) {
+        let client = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
+            .build_http::<Full<Bytes>>();
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.server.address()));
+        if let Some(token) = token {
+            request = request.header("authorization", format!("Bearer {token}"));
+        }
+        let request = request.body(Full::from(body.to_owned())).unwrap();
+        let response = client.request(request).await.unwrap();
+        let status = response.status();
+        let bytes = response.into_body().collect().await.unwrap().to_bytes();
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        let value = serde_json::from_str(&text).unwrap_or(Value::String(text));
+        (status, value)
+    }
+
+    pub(crate) async fn get(&self, path: &str, token: Option<&str>) -> (StatusCode, Value) {
+        self.call(Method::GET, path, token, "").await
+    }
+
+    pub(crate) async fn put(
+        &self,
+        path: &str,
+        token: &str,
+        document: &Value,
+    ) -> (StatusCode, Value) {
+        let body = document.to_string();
+        self.call(Method::PUT, path, Some(token), &body).await
+    }
+}
