Test target selection, admission and health

Each test states the failure that it guards against; time is paused throughout.

The share of failures in the score fades with a half-life of 1 s now. Without that, a target with four failures was passed over for ever at low load, because it got no request that could have cleared its record.

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -25,6 +25,9 @@
 /// Requests that can be retried come first, but a service may have none.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Half-life of the share of failures without further failures.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(1);
+
 /// Age up to which a healthy probe lets a target return.
 const PROBE_VALIDITY: Duration = Duration::from_secs(1);
 
@@ -33,6 +36,7 @@
 pub(crate) struct Health {
     consecutive: u32,
     results: VecDeque<bool>,
+    failed_at: Option<Instant>,
     ejection: Option<Ejection>,
     /// Number of ejections that follow each other.
     level: u32,
@@ -81,10 +85,17 @@
         self.ejection.is_some()
     }
 
-    /// Share of failures among the last results.
-    pub(crate) fn failing(&self) -> f64 {
+    /// Share of failures among the last results. It fades with time: a target
+    /// that is avoided brings no better results of its own.
+    pub(crate) fn failing(&self, now: Instant) -> f64 {
+        let Some(at) = self.failed_at else {
+            return 0.0;
+        };
         let failures = self.results.iter().filter(|failed| **failed).count();
-        crate::number::ratio(failures, RESULT_WINDOW)
+        let age = now
+            .saturating_duration_since(at)
+            .div_duration_f64(FAILURE_HALF_LIFE);
+        crate::number::ratio(failures, RESULT_WINDOW) * (-age).exp2()
     }
 
     /// Notes that an attempt goes to the target.
@@ -121,7 +132,7 @@
     }
 
     /// Notes a failure; returns whether the target deserves ejection.
-    pub(crate) fn failed(&mut self, attempt: u64) -> bool {
+    pub(crate) fn failed(&mut self, attempt: u64, now: Instant) -> bool {
         if self.is_trial(attempt) {
             return true;
         }
@@ -129,6 +140,7 @@
             return false;
         }
         self.consecutive += 1;
+        self.failed_at = Some(now);
         self.push(true);
         let failures = self.results.iter().filter(|failed| **failed).count();
         self.probation || self.consecutive >= CONSECUTIVE_FAILURES || failures * 2 > RESULT_WINDOW
--- a/crates/balance/src/node.rs
+++ b/crates/balance/src/node.rs
@@ -182,7 +182,7 @@
             self.answered = Some(now);
         }
         self.withdraw(attempt, now);
-        self.health.failed(attempt)
+        self.health.failed(attempt, now)
     }
 
     /// Ends an attempt that the target refused.
--- a/crates/balance/src/policy.rs
+++ b/crates/balance/src/policy.rs
@@ -168,7 +168,7 @@
         let slots = f64::from(node.endpoint.slots);
         let load = (count(node.in_flight()) + node.foreign(self.now)) / slots;
         let mut cost = slowdown * (1.0 + load);
-        cost *= 1.0 + FAILURE_WEIGHT * node.health.failing();
+        cost *= 1.0 + FAILURE_WEIGHT * node.health.failing(self.now);
         if ramp {
             cost *= 2.0 - node.warmth(self.now);
         }
--- /dev/null
+++ b/crates/balance/tests/all/budget.rs
@@ -0,0 +1,136 @@
+//! Budgets for retries and hedges.
+
+use carobdrift_balance::{Outcome, Pool, Purpose};
+use carobdrift_document::{Kind, Policy};
+
+use crate::fixture::{self, call, end, take};
+
+/// Attempts that the budget admits over `calls` calls, when each call asks
+/// for two; checked against the share after every call.
+async fn spend(pool: &Pool, purpose: Purpose, calls: u32, percent: u32) -> u32 {
+    let mut spent = 0;
+    for sent in 1..=calls {
+        let slot = take(pool).await;
+        for _ in 0..2 {
+            let tried = [slot.target().clone()];
+            if let Some(other) = pool.try_another(&call(100), purpose, &tried) {
+                assert_ne!(other.target(), slot.target());
+                spent += 1;
+            }
+        }
+        end(slot, Outcome::Success);
+        assert!(spent * 100 <= sent * percent, "{spent} of {sent}");
+    }
+    spent
+}
+
+/// Fails when retries exceed their share at any moment, or fall far short of
+/// it although they are wanted.
+#[tokio::test(start_paused = true)]
+async fn retries_stay_within_their_share() {
+    for policy in [Policy::RoundRobin, Policy::Adaptive] {
+        let pool = fixture::open(fixture::document(policy, 4, 2));
+
+        let spent = spend(&pool, Purpose::Retry, 20_000, 10).await;
+
+        assert!(spent >= 1_999, "{spent}");
+    }
+}
+
+/// Fails when hedges exceed their share at any moment, or fall far short of it
+/// although they are wanted.
+#[tokio::test(start_paused = true)]
+async fn hedges_stay_within_their_share() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 4, 2));
+
+    let spent = spend(&pool, Purpose::Hedge, 20_000, 5).await;
+
+    assert!(spent >= 999, "{spent}");
+}
+
+/// Fails when a quiet time saves up more than a short burst.
+#[tokio::test(start_paused = true)]
+async fn a_burst_is_bounded() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 4, 2));
+    fixture::targets(&pool, 10_000).await;
+
+    let mut burst = 0;
+    while pool.try_another(&call(100), Purpose::Retry, &[]).is_some() {
+        burst += 1;
+    }
+
+    assert_eq!(burst, 10);
+}
+
+/// Fails when a call gets more attempts than the document permits.
+#[tokio::test(start_paused = true)]
+async fn attempts_are_bounded() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 4, 2));
+    fixture::targets(&pool, 100).await;
+    let tried: Vec<_> = (0..3).map(fixture::target).collect();
+
+    assert!(
+        pool.try_another(&call(100), Purpose::Retry, &tried[..2])
+            .is_some()
+    );
+    assert!(
+        pool.try_another(&call(100), Purpose::Retry, &tried)
+            .is_none()
+    );
+}
+
+/// Fails when a call that must not run twice is hedged, or when a baseline
+/// hedges.
+#[tokio::test(start_paused = true)]
+async fn only_idempotent_calls_of_adaptive_are_hedged() {
+    let mut once = call(400);
+    once.kind = Kind::NonIdempotent;
+    for (policy, call, hedged) in [
+        (Policy::Adaptive, call(400), true),
+        (Policy::Adaptive, once, false),
+        (Policy::RoundRobin, call(400), false),
+    ] {
+        let pool = fixture::open(fixture::document(policy, 4, 2));
+        fixture::warm(&pool, 8).await;
+        fixture::targets(&pool, 100).await;
+
+        let delay = pool.hedge_delay(&call);
+        let slot = pool.try_another(&call, Purpose::Hedge, &[fixture::target(0)]);
+
+        assert_eq!(delay.is_some(), hedged);
+        assert_eq!(slot.is_some(), hedged);
+    }
+}
+
+/// Fails when the hedge delay is not the percentile of the class's latency, or
+/// undercuts the smallest delay.
+#[tokio::test(start_paused = true)]
+async fn the_hedge_delay_follows_the_latency() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 4, 2));
+    assert!(pool.hedge_delay(&call(400)).is_none());
+    fixture::warm(&pool, 8).await;
+
+    let delay = pool.hedge_delay(&call(400)).expect("there are samples");
+    assert!((9..=12).contains(&delay.as_millis()), "{delay:?}");
+
+    let mut document = fixture::document(Policy::Adaptive, 4, 2);
+    document.hedging.min_delay_ms = carobdrift_units::Millis(50);
+    pool.reload(document.into(), carobdrift_units::Version(2));
+    let delay = pool.hedge_delay(&call(400)).expect("there are samples");
+    assert_eq!(delay.as_millis(), 50);
+}
+
+/// Fails when a reconnect goes to another target while its own is usable.
+#[tokio::test(start_paused = true)]
+async fn a_reconnect_stays_on_its_target() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 4, 2));
+    fixture::targets(&pool, 100).await;
+    let tried = [fixture::target(1), fixture::target(3)];
+
+    let slot = pool.try_another(&call(100), Purpose::Reconnect, &tried);
+
+    assert_eq!(
+        slot.expect("the budget is there").target(),
+        &fixture::target(3)
+    );
+}
--- /dev/null
+++ b/crates/balance/tests/all/drain.rs
@@ -0,0 +1,172 @@
+//! Leaving targets and their return.
+
+use std::sync::Arc;
+
+use carobdrift_balance::{
+    Departure, Evidence, Observation, Outcome, Pool, Purpose, Report, Standing,
+};
+use carobdrift_document::{Policy, State};
+use carobdrift_units::Version;
+use tokio::sync::mpsc;
+
+use crate::fixture::{self, call, standing, take, target};
+
+const ALL: [Policy; 4] = [
+    Policy::RoundRobin,
+    Policy::PowerOfTwo,
+    Policy::LeastInFlight,
+    Policy::Adaptive,
+];
+
+/// Fails when a leaving target gets a request, a retry or a hedge, by any
+/// policy.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_target_gets_nothing_new() {
+    for policy in ALL {
+        let pool = fixture::open(fixture::document(policy, 2, 2));
+        fixture::warm(&pool, 4).await;
+        fixture::targets(&pool, 200).await;
+
+        pool.mark_leaving(&target(0), Evidence::List, None);
+
+        assert!(!fixture::targets(&pool, 20).await.contains(&target(0)));
+        for purpose in [Purpose::Retry, Purpose::Hedge, Purpose::Reconnect] {
+            for tried in [target(0), target(1)] {
+                let slot = pool.try_another(&call(100), purpose, &[tried]);
+                assert!(
+                    slot.is_none_or(|slot| *slot.target() == target(1)),
+                    "{policy:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Fails when the trial of an ejected target ignores that it is leaving.
+#[tokio::test(start_paused = true)]
+async fn a_leaving_target_gets_no_trial() {
+    let pool = fixture::open(fixture::document(Policy::RoundRobin, 3, 2));
+    for _ in 0..15 {
+        let slot = take(&pool).await;
+        let bad = *slot.target() == target(0);
+        fixture::end(
+            slot,
+            if bad {
+                Outcome::Failure
+            } else {
+                Outcome::Success
+            },
+        );
+    }
+    assert!(matches!(standing(&pool, 0), Standing::Ejected(_)));
+
+    pool.mark_leaving(&target(0), Evidence::List, None);
+    fixture::pass(5_000).await;
+
+    assert!(!fixture::targets(&pool, 20).await.contains(&target(0)));
+}
+
+/// Fails when a mark interrupts requests in flight, or when the target's own
+/// statement is not passed on to the peers exactly once.
+#[tokio::test(start_paused = true)]
+async fn a_draining_response_marks_the_target_once() {
+    let (departures, mut told) = mpsc::unbounded_channel();
+    let mut local = fixture::local();
+    local.departures = Some(departures);
+    let pool = fixture::open_as(fixture::document(Policy::RoundRobin, 2, 2), local);
+    let first = take(&pool).await;
+    let _other = take(&pool).await;
+    let second = take(&pool).await;
+    let report = Report {
+        draining: true,
+        start: Some("a".to_owned()),
+        ..Report::default()
+    };
+
+    first.report(&report);
+    first.finish(&Observation {
+        outcome: Outcome::Success,
+        report: report.clone(),
+    });
+    second.finish(&Observation {
+        outcome: Outcome::Success,
+        report,
+    });
+
+    assert_eq!(standing(&pool, 0), Standing::Leaving(Evidence::Response));
+    let departure = Departure {
+        service: "sheets".parse().expect("the name is valid"),
+        target: target(0),
+        evidence: Evidence::Response,
+        start: Some("a".to_owned()),
+    };
+    assert_eq!(told.try_recv(), Ok(departure));
+    assert!(told.try_recv().is_err());
+}
+
+fn leaving(pool: &Pool) -> bool {
+    matches!(standing(pool, 0), Standing::Leaving(_))
+}
+
+/// Fails when a target returns on anything but a new process or a newer
+/// document, or when a late statement of the old process marks the new one.
+#[tokio::test(start_paused = true)]
+async fn a_target_returns_on_stronger_evidence_only() {
+    let document = Arc::new(fixture::document(Policy::Adaptive, 2, 2));
+    let pool = fixture::open((*document).clone());
+
+    pool.mark_leaving(&target(0), Evidence::Response, None);
+    pool.learn_start(&target(0), "a");
+    pool.reload(Arc::clone(&document), Version(1));
+    assert!(
+        leaving(&pool),
+        "a first start id and the same version prove nothing"
+    );
+
+    pool.learn_start(&target(0), "b");
+    assert!(!leaving(&pool));
+    assert!(pool.view()[0].cold);
+
+    pool.mark_leaving(&target(0), Evidence::List, Some("a"));
+    pool.learn_start(&target(0), "a");
+    assert!(!leaving(&pool), "process a has ended");
+
+    pool.mark_leaving(&target(0), Evidence::List, Some("b"));
+    assert!(leaving(&pool));
+    pool.reload(document, Version(2));
+    assert!(!leaving(&pool));
+}
+
+/// Fails when a new process returns a target that the document retires.
+#[tokio::test(start_paused = true)]
+async fn a_new_process_does_not_overrule_the_document() {
+    let mut document = fixture::document(Policy::Adaptive, 2, 2);
+    document.targets[0].state = State::Leaving;
+    let pool = fixture::open(document);
+
+    pool.learn_start(&target(0), "a");
+    pool.learn_start(&target(0), "b");
+
+    assert_eq!(standing(&pool, 0), Standing::Leaving(Evidence::Document));
+}
+
+/// Fails when calls wait in vain although no target is left.
+#[tokio::test(start_paused = true)]
+async fn without_a_target_calls_are_shed_at_once() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 1, 1));
+    let held = take(&pool).await;
+    let waiting = tokio::spawn({
+        let pool = pool.clone();
+        async move { pool.acquire(&call(400)).await.map(|_| ()) }
+    });
+    fixture::pass(5).await;
+    let begin = tokio::time::Instant::now();
+
+    pool.mark_leaving(&target(0), Evidence::List, None);
+
+    let shed = Err(carobdrift_balance::Shed::NoTarget);
+    assert_eq!(waiting.await.expect("it ends"), shed);
+    assert_eq!(pool.acquire(&call(400)).await.map(|_| ()), shed);
+    assert_eq!(begin.elapsed().as_millis(), 0);
+    drop(held);
+}
--- a/crates/balance/tests/all/fixture.rs
+++ b/crates/balance/tests/all/fixture.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_balance::{Call, Local, Metrics, Pool};
+use carobdrift_balance::{Call, Local, Metrics, Observation, Outcome, Pool, Slot, Standing};
 use carobdrift_document::{Document, Kind, Policy};
-use carobdrift_units::Version;
+use carobdrift_units::{Target, Version};
 use prometheus::Registry;
 use tokio::time::Instant;
 
@@ -34,12 +34,16 @@
 
 /// A pool whose limits belong to it alone.
 pub(crate) fn open(document: Document) -> Pool {
-    let metrics = Metrics::register(&Registry::new()).expect("the registry is new");
-    let pool = Pool::open(Arc::new(document), Version(1), local(), metrics);
+    let pool = open_as(document, local());
     pool.allowance().split(Some(1));
     pool
 }
 
+pub(crate) fn open_as(document: Document, local: Local) -> Pool {
+    let metrics = Metrics::register(&Registry::new()).expect("the registry is new");
+    Pool::open(Arc::new(document), Version(1), local, metrics)
+}
+
 pub(crate) fn local() -> Local {
     let name = "entry-1".parse().expect("the name is valid");
     Local::new(name, "hobart".parse().expect("the name is valid"))
@@ -53,3 +57,70 @@
         deadline: Instant::now() + Duration::from_millis(deadline_ms),
     }
 }
+
+pub(crate) fn target(index: u32) -> Target {
+    format!("t{index}").parse().expect("the name is valid")
+}
+
+/// Sends one idempotent call.
+pub(crate) async fn take(pool: &Pool) -> Slot {
+    pool.acquire(&call(400)).await.expect("a target is free")
+}
+
+pub(crate) fn end(slot: Slot, outcome: Outcome) {
+    slot.finish(&Observation::bare(outcome));
+}
+
+/// Lets every slot succeed after 10 ms, several times over, so that the usual
+/// latency is known.
+pub(crate) async fn warm(pool: &Pool, slots: usize) {
+    for _ in 0..=(40 / slots) {
+        let mut held = Vec::new();
+        for _ in 0..slots {
+            held.push(take(pool).await);
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        for slot in held {
+            end(slot, Outcome::Success);
+        }
+    }
+}
+
+/// Targets of the next `count` calls, each of which succeeds at once.
+pub(crate) async fn targets(pool: &Pool, count: usize) -> Vec<Target> {
+    let mut targets = Vec::new();
+    for _ in 0..count {
+        let slot = take(pool).await;
+        targets.push(slot.target().clone());
+        drop(slot);
+    }
+    targets
+}
+
+/// Takes every free slot.
+pub(crate) async fn fill(pool: &Pool) -> Vec<Slot> {
+    let mut slots = Vec::new();
+    while let Some(slot) = take_now(pool, &call(400)).await {
+        slots.push(slot);
+    }
+    slots
+}
+
+/// A slot if one is free at this moment.
+pub(crate) async fn take_now(pool: &Pool, call: &Call) -> Option<Slot> {
+    tokio::select! {
+        biased;
+        slot = pool.acquire(call) => slot.ok(),
+        () = std::future::ready(()) => None,
+    }
+}
+
+pub(crate) fn standing(pool: &Pool, index: u32) -> Standing {
+    let view = pool.view();
+    let found = view.iter().find(|view| view.target == target(index));
+    found.expect("the target is listed").standing
+}
+
+pub(crate) async fn pass(millis: u64) {
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
--- /dev/null
+++ b/crates/balance/tests/all/health.rs
@@ -0,0 +1,226 @@
+//! Ejection of failing targets and their return.
+
+use std::time::Duration;
+
+use carobdrift_balance::{Outcome, Pool, Sample, Standing};
+use carobdrift_document::Policy;
+
+use crate::fixture::{self, end, pass, standing, take, target};
+
+/// Sends calls in turn; those on targets below `failing` fail. Returns how many
+/// reached the failing targets.
+async fn send(pool: &Pool, calls: u32, failing: u32) -> u32 {
+    let bad: Vec<_> = (0..failing).map(target).collect();
+    let mut reached = 0;
+    for _ in 0..calls {
+        let slot = take(pool).await;
+        let failed = bad.contains(slot.target());
+        reached += u32::from(failed);
+        pass(1).await;
+        end(
+            slot,
+            if failed {
+                Outcome::Failure
+            } else {
+                Outcome::Success
+            },
+        );
+    }
+    reached
+}
+
+/// A pool that sends to failing targets as often as to good ones.
+fn open(targets: u32) -> Pool {
+    fixture::open(fixture::document(Policy::RoundRobin, targets, 2))
+}
+
+fn ejected(pool: &Pool) -> usize {
+    let view = pool.view();
+    let active = view
+        .iter()
+        .filter(|view| view.standing == Standing::Active)
+        .count();
+    view.len() - active
+}
+
+/// Fails when failing fast makes a target look attractive. Good targets take
+/// 8 ms per call and are busy for two thirds of the time.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_fails_fast_attracts_no_load() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 6, 2));
+    fixture::warm(&pool, 12).await;
+    let mut tasks = Vec::new();
+
+    for _ in 0..1_900 {
+        let pool = pool.clone();
+        tasks.push(tokio::spawn(async move {
+            let slot = take(&pool).await;
+            let failed = *slot.target() == target(0);
+            pass(if failed { 1 } else { 8 }).await;
+            end(
+                slot,
+                if failed {
+                    Outcome::Failure
+                } else {
+                    Outcome::Success
+                },
+            );
+            u32::from(failed)
+        }));
+        pass(1).await;
+    }
+
+    let mut reached = 0;
+    for task in tasks {
+        reached += task.await.expect("it ends");
+    }
+    assert!(
+        reached <= 10,
+        "{reached} of 1900 calls reached the failing target"
+    );
+}
+
+/// Fails when more than a third of the targets is ejected.
+#[tokio::test(start_paused = true)]
+async fn at_most_a_third_is_ejected() {
+    let pool = open(7);
+
+    send(&pool, 400, 7).await;
+
+    assert_eq!(ejected(&pool), 2);
+}
+
+/// Fails when the last target is ejected, or one of two cannot be.
+#[tokio::test(start_paused = true)]
+async fn one_of_two_is_ejected_but_never_a_single_one() {
+    let two = open(2);
+    let single = open(1);
+
+    send(&two, 100, 2).await;
+    send(&single, 100, 1).await;
+
+    assert_eq!(ejected(&two), 1);
+    assert_eq!(ejected(&single), 0);
+}
+
+/// Fails when failures that are not consecutive go unnoticed.
+#[tokio::test(start_paused = true)]
+async fn more_than_half_of_the_last_results_eject() {
+    let pool = open(2);
+    let mut results = 0_u32;
+    while !matches!(standing(&pool, 0), Standing::Ejected(_)) && results < 40 {
+        let slot = take(&pool).await;
+        if *slot.target() == target(0) {
+            results += 1;
+            let failed = !results.is_multiple_of(3);
+            end(
+                slot,
+                if failed {
+                    Outcome::Failure
+                } else {
+                    Outcome::Success
+                },
+            );
+        } else {
+            end(slot, Outcome::Success);
+        }
+    }
+
+    assert_eq!(results, 16);
+}
+
+/// Fails when a target returns without a trial, when several requests serve as
+/// the trial, or when ejections do not grow.
+#[tokio::test(start_paused = true)]
+async fn one_trial_request_decides_the_return() {
+    let pool = open(3);
+    send(&pool, 60, 1).await;
+    assert!(matches!(standing(&pool, 0), Standing::Ejected(_)));
+
+    pass(1_001).await;
+    assert_eq!(standing(&pool, 0), Standing::HalfOpen);
+    let trial = take(&pool).await;
+    assert_eq!(*trial.target(), target(0));
+    assert!(!fixture::targets(&pool, 20).await.contains(&target(0)));
+
+    end(trial, Outcome::Failure);
+    assert_eq!(
+        standing(&pool, 0),
+        Standing::Ejected(Duration::from_secs(2))
+    );
+    pass(2_001).await;
+    end(take(&pool).await, Outcome::Success);
+    assert_eq!(standing(&pool, 0), Standing::Active);
+}
+
+/// Fails when a cancelled trial blocks the return for ever.
+#[tokio::test(start_paused = true)]
+async fn a_cancelled_trial_is_repeated() {
+    let pool = open(3);
+    send(&pool, 60, 1).await;
+    pass(1_001).await;
+
+    drop(take(&pool).await);
+
+    assert_eq!(*take(&pool).await.target(), target(0));
+}
+
+/// Fails when a healthy probe does not return a target, or when a target that
+/// returned on a probe alone gets five more requests although it still fails.
+#[tokio::test(start_paused = true)]
+async fn a_healthy_probe_returns_a_target_on_probation() {
+    let pool = open(3);
+    send(&pool, 60, 1).await;
+    pass(1_001).await;
+
+    pool.learn(&Sample {
+        target: target(0),
+        in_flight: Some(0),
+        latency: Duration::from_millis(1),
+        age: Duration::from_millis(10),
+        start: None,
+        healthy: true,
+        draining: false,
+    });
+    let reached = send(&pool, 60, 1).await;
+
+    assert_eq!(reached, 1);
+    assert!(matches!(standing(&pool, 0), Standing::Ejected(_)));
+}
+
+/// Fails when results of requests that were sent before the ejection decide
+/// over the return.
+#[tokio::test(start_paused = true)]
+async fn late_results_change_nothing() {
+    let pool = fixture::open(fixture::document(Policy::LeastInFlight, 2, 8));
+    let mut late = Vec::new();
+    for _ in 0..16 {
+        late.push(take(&pool).await);
+    }
+    let (bad, good): (Vec<_>, Vec<_>) = late.into_iter().partition(|s| *s.target() == target(0));
+    let mut bad = bad.into_iter();
+    for slot in bad.by_ref().take(5) {
+        end(slot, Outcome::Failure);
+    }
+
+    for slot in bad {
+        end(slot, Outcome::Success);
+    }
+
+    assert!(matches!(standing(&pool, 0), Standing::Ejected(_)));
+    drop(good);
+}
+
+/// Fails when a target that refuses gets the same load again at once.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_pauses_new_requests() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 2, 2));
+    let refused = take(&pool).await;
+    let paused = refused.target().clone();
+
+    end(refused, Outcome::Refused);
+
+    assert!(!fixture::targets(&pool, 20).await.contains(&paused));
+    pass(6).await;
+    assert!(fixture::targets(&pool, 50).await.contains(&paused));
+}
--- a/crates/balance/tests/all/policy.rs
+++ b/crates/balance/tests/all/policy.rs
@@ -38,3 +38,46 @@
 
     assert!(pool.view().iter().all(|target| target.in_flight == 3));
 }
+
+/// Fails when power of two sends to the busier one of two targets.
+#[tokio::test(start_paused = true)]
+async fn power_of_two_takes_the_less_loaded_target() {
+    let pool = fixture::open(fixture::document(Policy::PowerOfTwo, 2, 1));
+
+    let mut slots = Vec::new();
+    for _ in 0..10 {
+        slots.push(fixture::take(&pool).await);
+    }
+
+    assert!(pool.view().iter().all(|target| target.in_flight == 5));
+}
+
+/// Fails when a baseline exceeds the connections of a target, or waits for a
+/// slot while connections are left.
+#[tokio::test(start_paused = true)]
+async fn baselines_dispatch_at_once_up_to_the_connections() {
+    for policy in [
+        Policy::RoundRobin,
+        Policy::PowerOfTwo,
+        Policy::LeastInFlight,
+    ] {
+        let mut document = fixture::document(policy, 2, 1);
+        document.connections.max_per_target = 3;
+        let pool = fixture::open(document);
+
+        let slots = fixture::fill(&pool).await;
+
+        assert_eq!(slots.len(), 6, "{policy:?}");
+    }
+}
+
+/// Fails when adaptive sends more than the slots of a target.
+#[tokio::test(start_paused = true)]
+async fn adaptive_admits_by_slots() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 3, 2));
+
+    let slots = fixture::fill(&pool).await;
+
+    assert_eq!(slots.len(), 6);
+    assert!(pool.view().iter().all(|target| target.in_flight == 2));
+}
