--- /dev/null
+++ b/crates/proxy/src/services.rs
@@ -0,0 +1,228 @@
+//! Services in force: document, pool and connections of each.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use carobdrift_balance::{Allowance, Local, Pool};
+use carobdrift_document::Document;
+use carobdrift_units::{Class, Service, Team, Version};
+
+use crate::metrics::{Latencies, Metrics};
+use crate::upstream::Upstream;
+
+/// A document in force.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// The document.
+    pub document: Arc<Document>,
+    /// Its version.
+    pub version: Version,
+}
+
+/// Whether this entry may serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Its documents are known to be the newest ones.
+    Serves,
+    /// Newer documents may be in force elsewhere.
+    Unconfirmed,
+}
+
+/// A standing that is awaited.
+pub type Wait = Pin<Box<dyn Future<Output = Standing> + Send>>;
+
+/// The documents in force at this entry.
+pub trait Documents: fmt::Debug + Send + Sync {
+    /// Document in force of a service.
+    fn held(&self, service: &Service) -> Option<Held>;
+
+    /// Whether this entry may serve now.
+    fn standing(&self) -> Standing;
+
+    /// Waits at most `max_wait` until this entry may serve.
+    fn confirm(&self, max_wait: Duration) -> Wait;
+}
+
+/// Services in force; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct Services {
+    core: Arc<Core>,
+}
+
+#[derive(Debug)]
+struct Core {
+    documents: Arc<dyn Documents>,
+    local: Local,
+    teams: BTreeMap<Team, Allowance>,
+    balance: carobdrift_balance::Metrics,
+    metrics: Metrics,
+    served: RwLock<HashMap<Service, Arc<Served>>>,
+}
+
+/// One version of a service in force.
+#[derive(Debug)]
+pub(crate) struct Served {
+    pub(crate) document: Arc<Document>,
+    pub(crate) version: Version,
+    pub(crate) pool: Pool,
+    upstreams: RwLock<HashMap<SocketAddr, Arc<Upstream>>>,
+    latencies: HashMap<Class, Latencies>,
+}
+
+impl Services {
+    /// Opens the services of an entry. `teams` holds the shares of the limits
+    /// of teams.
+    #[must_use]
+    pub fn open(
+        documents: Arc<dyn Documents>,
+        local: Local,
+        teams: BTreeMap<Team, Allowance>,
+        balance: carobdrift_balance::Metrics,
+        metrics: Metrics,
+    ) -> Self {
+        Self {
+            core: Arc::new(Core {
+                documents,
+                local,
+                teams,
+                balance,
+                metrics,
+                served: RwLock::default(),
+            }),
+        }
+    }
+
+    /// The pool of a service, with the document in force.
+    #[must_use]
+    pub fn pool(&self, service: &Service) -> Option<Pool> {
+        self.serve(service).map(|served| served.pool.clone())
+    }
+
+    pub(crate) fn documents(&self) -> &dyn Documents {
+        &*self.core.documents
+    }
+
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.core.metrics
+    }
+
+    /// The service with the document in force.
+    pub(crate) fn serve(&self, service: &Service) -> Option<Arc<Served>> {
+        let held = self.core.documents.held(service)?;
+        {
+            let served = self
+                .core
+                .served
+                .read()
+                .unwrap_or_else(PoisonError::into_inner);
+            if let Some(found) = served.get(service)
+                && found.version >= held.version
+            {
+                return Some(Arc::clone(found));
+            }
+        }
+        Some(self.put(service, held))
+    }
+
+    /// Closes connections that were idle for too long.
+    pub(crate) fn sweep(&self) {
+        let served = self
+            .core
+            .served
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        for served in served.values() {
+            let upstreams = served
+                .upstreams
+                .read()
+                .unwrap_or_else(PoisonError::into_inner);
+            for upstream in upstreams.values() {
+                upstream.sweep();
+            }
+        }
+    }
+
+    /// Puts a version in force unless a newer one is.
+    fn put(&self, service: &Service, held: Held) -> Arc<Served> {
+        let core = &self.core;
+        let mut served = core.served.write().unwrap_or_else(PoisonError::into_inner);
+        let Held { document, version } = held;
+        let (pool, upstreams) = match served.get(service) {
+            Some(found) if found.version >= version => return Arc::clone(found),
+            Some(found) => {
+                found.pool.reload(Arc::clone(&document), version);
+                (found.pool.clone(), found.keep_upstreams(&document))
+            }
+            None => {
+                let mut local = core.local.clone();
+                local.team = core.teams.get(&document.team).cloned();
+                let metrics = core.balance.clone();
+                let pool = Pool::open(Arc::clone(&document), version, local, metrics);
+                (pool, HashMap::new())
+            }
+        };
+        let latencies = document.classes.iter().map(|class| {
+            let latencies = core
+                .metrics
+                .latencies(service.as_str(), class.name.as_str());
+            (class.name.clone(), latencies)
+        });
+        let new = Arc::new(Served {
+            latencies: latencies.collect(),
+            document,
+            version,
+            pool,
+            upstreams: RwLock::new(upstreams),
+        });
+        served.insert(service.clone(), Arc::clone(&new));
+        new
+    }
+}
+
+impl Served {
+    /// Connections to a target.
+    pub(crate) fn upstream(&self, address: SocketAddr) -> Arc<Upstream> {
+        let upstreams = self
+            .upstreams
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(upstream) = upstreams.get(&address) {
+            return Arc::clone(upstream);
+        }
+        drop(upstreams);
+        let mut upstreams = self
+            .upstreams
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let upstream = upstreams
+            .entry(address)
+            .or_insert_with(|| Upstream::new(address, self.document.connections.clone()));
+        Arc::clone(upstream)
+    }
+
+    pub(crate) fn latencies(&self, class: &Class) -> Option<&Latencies> {
+        self.latencies.get(class)
+    }
+
+    /// Connections that the next version of the document keeps. The others are
+    /// closed once their exchanges have ended.
+    fn keep_upstreams(&self, next: &Document) -> HashMap<SocketAddr, Arc<Upstream>> {
+        let upstreams = self
+            .upstreams
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        let kept = upstreams.iter().filter(|(address, upstream)| {
+            let listed = next
+                .targets
+                .iter()
+                .any(|target| target.address == **address);
+            listed && *upstream.rules() == next.connections
+        });
+        kept.map(|(address, upstream)| (*address, Arc::clone(upstream)))
+            .collect()
+    }
+}
