Probe targets within the measuring budget and grant shares of limits

One scan per round reads all lease rows of the cell, so the reads of leases grow with the entries and not with the shards. A lease counts from the send of the write; a write whose response was lost extends it only once the row shows the transaction's id. A lease is given back one window of the budget after the last probe, so that the successor may start at once.

The next probe of a target is counted from the end of the last one. Spacing sends evenly was ruled out, because a delayed probe and a prompt one then arrive together. Probes that were not answered may still wait in the sockets of a stopped target; at most budget - 1 of them may be outstanding in this way within 30 s, unless the target answers something. Each probe has a connection of its own, so a connection that went silent can't be mistaken for a silent target.

The book of a holder counts, per entry, the largest grant that has not expired, because an entry uses an earlier grant until the answer with the next one arrives. Competing wants are divided by max-min fairness.

Tests count probes at the targets while entries join, leave, die and pause, the store fails and targets hold or stop; leases run for 3 s there.

--- /dev/null
+++ b/crates/measure/src/leases.rs
@@ -0,0 +1,307 @@
+//! Competition for the shard leases of a cell.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use carobdrift_platform::{Client, Condition, Error, Put, Transaction};
+use carobdrift_units::{Cell, Instance, rank};
+use futures_util::future::join_all;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::lease::{Claim, Lease, Owner, Tenure, Timing};
+use crate::metrics::Metrics;
+use crate::permit::Permit;
+use crate::shard::Shard;
+
+/// Pause between the last probe and the return of a lease: the window of the
+/// budget, because the successor may probe at once.
+const QUIET: Duration = Duration::from_millis(1_010);
+
+/// Whose leases to compete for, and as whom.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Cell whose services are measured.
+    pub cell: Cell,
+    /// This process.
+    pub owner: Owner,
+    /// Times that all entries of the cell agree on.
+    pub timing: Timing,
+}
+
+/// The shard leases of a cell as this entry holds them; cheap to clone. They
+/// are renewed until the last clone is dropped or they are released.
+#[derive(Debug, Clone)]
+pub struct Leases {
+    shared: Arc<Shared>,
+    _guard: Arc<DropGuard>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: Settings,
+    client: Client,
+    members: watch::Receiver<Vec<Instance>>,
+    metrics: Metrics,
+    state: Mutex<State>,
+    outstanding: Arc<watch::Sender<usize>>,
+    leaving: CancellationToken,
+    ended: CancellationToken,
+}
+
+#[derive(Debug)]
+struct State {
+    leases: Vec<Lease>,
+    leaving: bool,
+    /// Shards held at the end of the last round, for the log.
+    held: Vec<Shard>,
+}
+
+impl Leases {
+    /// Starts to compete for the leases. `members` are the live entries of the
+    /// cell, by which the leases are spread.
+    #[must_use]
+    pub fn spawn(
+        settings: Settings,
+        client: Client,
+        members: watch::Receiver<Vec<Instance>>,
+        metrics: Metrics,
+    ) -> Self {
+        let lease = || Lease::new(settings.owner.clone(), settings.timing);
+        let state = State {
+            leases: Shard::all().map(|_| lease()).collect(),
+            leaving: false,
+            held: Vec::new(),
+        };
+        let shared = Arc::new(Shared {
+            settings,
+            client,
+            members,
+            metrics,
+            state: Mutex::new(state),
+            outstanding: Arc::new(watch::Sender::new(0)),
+            leaving: CancellationToken::new(),
+            ended: CancellationToken::new(),
+        });
+        let dropped = CancellationToken::new();
+        tokio::spawn({
+            let shared = Arc::clone(&shared);
+            let dropped = dropped.clone();
+            async move {
+                dropped.run_until_cancelled(shared.run()).await;
+                shared.ended.cancel();
+            }
+        });
+        Self {
+            shared,
+            _guard: Arc::new(dropped.drop_guard()),
+        }
+    }
+
+    /// Permission to send one probe for a shard; `None` when its lease is not
+    /// held at this moment.
+    #[must_use]
+    pub fn permit(&self, shard: Shard) -> Option<Permit> {
+        let state = self.shared.lock();
+        // Under the lock, so that no permit is given after the leases were
+        // seen to be unused.
+        state
+            .tenure(shard)
+            .map(|_| Permit::new(&self.shared.outstanding))
+    }
+
+    /// The tenure of a shard; `None` when its lease is not held at this moment.
+    #[must_use]
+    pub fn tenure(&self, shard: Shard) -> Option<Tenure> {
+        self.shared.lock().tenure(shard)
+    }
+
+    /// Instance that holds the lease of a shard as far as known.
+    #[must_use]
+    pub fn holder(&self, shard: Shard) -> Option<Instance> {
+        self.shared.lock().leases[shard.index()].holder().cloned()
+    }
+
+    /// This process.
+    #[must_use]
+    pub fn owner(&self) -> &Owner {
+        &self.shared.settings.owner
+    }
+
+    /// Gives all leases back for good. No permit is given from now on; the rows
+    /// are deleted once the window of the budget has passed without a probe.
+    pub async fn release(&self) {
+        self.shared.lock().leaving = true;
+        self.shared.leaving.cancel();
+        self.shared.ended.cancelled().await;
+    }
+}
+
+impl State {
+    fn tenure(&self, shard: Shard) -> Option<Tenure> {
+        if self.leaving {
+            return None;
+        }
+        self.leases[shard.index()].tenure(Instant::now())
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn run(&self) {
+        loop {
+            let wake = self.round().await;
+            tokio::select! {
+                () = sleep_until(wake) => {}
+                () = self.leaving.cancelled() => break,
+            }
+        }
+        // Fails only when the sender is gone, and `self` holds it.
+        let _ = self.outstanding.subscribe().wait_for(|n| *n == 0).await;
+        sleep(QUIET).await;
+        let own: Vec<_> = {
+            let state = self.lock();
+            let own = Shard::all().filter(|shard| state.leases[shard.index()].is_own());
+            own.map(|shard| (shard, state.leases[shard.index()].version()))
+                .collect()
+        };
+        join_all(own.into_iter().map(|(shard, version)| async move {
+            let mut transaction = self.condition(shard, version);
+            transaction.deletes.push(self.key(shard));
+            if let Err(error) = self.client.transact(&transaction).await {
+                log::warn!(target: "measure", "lease of shard {shard} can't be given back and runs out: {error}");
+            }
+        }))
+        .await;
+    }
+
+    /// Reads all rows, writes those that are due and returns when the next
+    /// round is.
+    async fn round(&self) -> Instant {
+        let timing = self.settings.timing;
+        let prefix = Shard::prefix(&self.settings.cell);
+        let limit = u32::from(Shard::COUNT) * 2;
+        let read = self.client.scan(&prefix, "", limit).await;
+        let now = Instant::now();
+        let rows = match read {
+            Ok(rows) => rows,
+            Err(error) => {
+                log::debug!(target: "measure", "leases can't be read: {error}");
+                self.note();
+                return now + timing.rank_step;
+            }
+        };
+        let due: Vec<_> = {
+            let mut state = self.lock();
+            let shards = Shard::all().filter_map(|shard| {
+                let key = self.key(shard);
+                let lease = &mut state.leases[shard.index()];
+                lease.observe(rows.iter().find(|row| row.key == key), now);
+                let due = lease.due(self.rank(shard))?;
+                (due <= now).then(|| (shard, lease.version()))
+            });
+            shards.collect()
+        };
+        join_all(
+            due.into_iter()
+                .map(|(shard, version)| self.write(shard, version)),
+        )
+        .await;
+        self.note();
+        let now = Instant::now();
+        let state = self.lock();
+        Shard::all()
+            .filter_map(|shard| state.leases[shard.index()].due(self.rank(shard)))
+            .min()
+            .unwrap_or(now)
+            .clamp(now + timing.rank_step, now + timing.renewal)
+    }
+
+    /// Takes or renews the lease of a shard.
+    async fn write(&self, shard: Shard, version: u64) {
+        let key = self.key(shard);
+        let mut transaction = self.condition(shard, version);
+        let claim = Claim {
+            owner: self.settings.owner.clone(),
+            transaction: transaction.id.clone(),
+        };
+        let value = match serde_json::to_value(claim) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!(target: "measure", "lease of shard {shard} can't be encoded: {error}");
+                return;
+            }
+        };
+        let put = Put {
+            key: key.clone(),
+            value,
+        };
+        transaction.puts.push(put);
+        let sent = Instant::now();
+        let result = self.client.transact(&transaction).await;
+        let written = result.as_ref().ok().and_then(|c| c.versions.get(&key));
+        if let Some(version) = written {
+            let mut state = self.lock();
+            state.leases[shard.index()].written(*version, sent, Instant::now());
+            return;
+        }
+        match result {
+            Err(Error::Conflict(_) | Error::Unavailable(_)) => {}
+            Ok(_) | Err(Error::Unknown(_) | Error::Protocol(_)) => {
+                self.lock().leases[shard.index()].lost(transaction.id, sent);
+                if let Ok(row) = self.client.read(&key).await {
+                    let now = Instant::now();
+                    self.lock().leases[shard.index()].observe(row.as_ref(), now);
+                }
+            }
+        }
+    }
+
+    fn condition(&self, shard: Shard, version: u64) -> Transaction {
+        Transaction {
+            id: format!("{:032x}", rand::random::<u128>()),
+            conditions: vec![Condition {
+                key: self.key(shard),
+                version,
+            }],
+            puts: Vec::new(),
+            deletes: Vec::new(),
+        }
+    }
+
+    fn key(&self, shard: Shard) -> String {
+        shard.key(&self.settings.cell)
+    }
+
+    /// Rendezvous rank of this entry for a shard.
+    fn rank(&self, shard: Shard) -> u32 {
+        let own = &self.settings.owner.instance;
+        let members = self.members.borrow();
+        let others = members.iter().filter(|member| *member != own);
+        let ranked = rank(&self.key(shard), others.chain([own]));
+        let position = ranked.iter().position(|member| *member == own);
+        position
+            .and_then(|position| u32::try_from(position).ok())
+            .unwrap_or(u32::MAX)
+    }
+
+    /// Logs and counts which leases are held.
+    fn note(&self) {
+        let mut state = self.lock();
+        let held: Vec<_> = Shard::all()
+            .filter(|s| state.tenure(*s).is_some())
+            .collect();
+        for shard in held.iter().filter(|shard| !state.held.contains(shard)) {
+            log::info!(target: "measure", "took the lease of shard {shard}");
+        }
+        for shard in state.held.iter().filter(|shard| !held.contains(shard)) {
+            log::info!(target: "measure", "lost the lease of shard {shard}");
+        }
+        self.metrics.set_leases(held.len());
+        state.held = held;
+    }
+}
--- /dev/null
+++ b/crates/measure/tests/all/fixture.rs
@@ -0,0 +1,121 @@
+//! Entries that measure, beside a stand-in of the platform.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carobdrift_balance::{Local, Pool};
+use carobdrift_document::Document;
+use carobdrift_measure::{Leases, Metrics, Owner, Prober, Settings, Subject, Subjects, Timing};
+use carobdrift_platform::Client;
+use carobdrift_test_support::platform::{self, StandIn};
+use carobdrift_units::{Cell, Incarnation, Instance, Version};
+use prometheus::Registry;
+use serde_json::json;
+use tokio::sync::{mpsc, watch};
+
+/// Shorter than in production; the margin stays the window of the budget.
+pub(crate) const TIMING: Timing = Timing {
+    duration: Duration::from_secs(3),
+    renewal: Duration::from_millis(700),
+    margin: Duration::from_secs(1),
+    rank_step: Duration::from_millis(100),
+};
+
+/// Timeout of probes.
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
+pub(crate) async fn platform() -> StandIn {
+    StandIn::bind(platform::Settings::default()).await.unwrap()
+}
+
+pub(crate) fn client(platform: SocketAddr) -> Client {
+    Client::open(carobdrift_platform::Settings {
+        address: platform,
+        timeout: Duration::from_millis(300),
+    })
+}
+
+pub(crate) fn cell() -> Cell {
+    "main".parse().unwrap()
+}
+
+pub(crate) fn instance(number: usize) -> Instance {
+    format!("e-{number}").parse().unwrap()
+}
+
+pub(crate) fn metrics() -> Metrics {
+    Metrics::register(&Registry::new()).unwrap()
+}
+
+/// Leases of entry `number` among entries 0 to 3.
+pub(crate) fn leases(number: usize, platform: SocketAddr) -> Leases {
+    let settings = Settings {
+        cell: cell(),
+        owner: Owner {
+            instance: instance(number),
+            incarnation: Incarnation::draw(),
+        },
+        timing: TIMING,
+    };
+    let (members, receiver) = watch::channel((0..4).map(instance).collect());
+    // The members never change, and the receiver keeps the last value.
+    drop(members);
+    Leases::spawn(settings, client(platform), receiver, metrics())
+}
+
+/// A service with one target.
+pub(crate) fn subject(service: &str, budget: u32, target: SocketAddr) -> Subject {
+    let text = json!({
+        "service": service,
+        "team": "meets",
+        "targets": [{"id": "t1", "address": target, "zone": "hobart", "slots": 2}],
+        "routes": [{"name": "view", "methods": ["GET"], "path": "/**", "kind": "idempotent",
+            "class": "view", "deadline_ms": 400}],
+        "classes": [{"name": "view", "weight": 4, "max_queue": 200}],
+        "limits": {"max_in_flight": 400, "max_per_second": 4000},
+        "measuring": {"probes_per_second_per_target": budget, "path": "/health",
+            "timeout_ms": PROBE_TIMEOUT.as_millis()}
+    });
+    let document = Arc::new(Document::parse(text.to_string().as_bytes()).unwrap());
+    let local = Local::new(instance(0), "hobart".parse().unwrap());
+    let metrics = carobdrift_balance::Metrics::register(&Registry::new()).unwrap();
+    Subject {
+        pool: Pool::open(Arc::clone(&document), Version(1), local, metrics),
+        document,
+    }
+}
+
+pub(crate) fn subjects(subjects: Vec<Subject>) -> (watch::Sender<Arc<Vec<Subject>>>, Subjects) {
+    watch::channel(Arc::new(subjects))
+}
+
+/// An entry that probes the given services.
+pub(crate) struct Entry {
+    pub(crate) leases: Leases,
+    _prober: Prober,
+    _subjects: watch::Sender<Arc<Vec<Subject>>>,
+}
+
+impl Entry {
+    pub(crate) fn start(number: usize, platform: SocketAddr, services: Vec<Subject>) -> Self {
+        Self::start_stalling(number, platform, services, Arc::new(|| {}))
+    }
+
+    pub(crate) fn start_stalling(
+        number: usize,
+        platform: SocketAddr,
+        services: Vec<Subject>,
+        stall: Arc<dyn Fn() + Send + Sync>,
+    ) -> Self {
+        let leases = leases(number, platform);
+        let (sender, receiver) = subjects(services);
+        let (samples, _) = mpsc::channel(16);
+        let prober = Prober::spawn_stalling(leases.clone(), receiver, samples, metrics(), stall);
+        Self {
+            leases,
+            _prober: prober,
+            _subjects: sender,
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/tests/all/leases.rs
@@ -0,0 +1,166 @@
+//! Guards against two holders of one lease, and against leases that nobody
+//! takes, while entries come and go and the store misbehaves.
+
+use std::time::{Duration, Instant};
+
+use carobdrift_measure::{Leases, Shard};
+use carobdrift_test_support::platform::{Down, Fault, Lose};
+use tokio::time::sleep;
+
+use crate::fixture::{TIMING, cell, leases, platform};
+
+const STEP: Duration = Duration::from_millis(5);
+
+fn held(leases: &Leases) -> usize {
+    Shard::all().filter(|s| leases.tenure(*s).is_some()).count()
+}
+
+/// Waits until the entries hold all leases together, and returns how long.
+async fn settle(entries: &[&Leases], bound: Duration) -> Duration {
+    let start = Instant::now();
+    loop {
+        let held: usize = entries.iter().map(|leases| held(leases)).sum();
+        if held == usize::from(Shard::COUNT) {
+            return start.elapsed();
+        }
+        assert!(
+            start.elapsed() < bound,
+            "{held} leases held after {bound:?}"
+        );
+        sleep(STEP).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leases_spread_over_the_entries() {
+    let platform = platform().await;
+    let entries = [0, 1, 2, 3].map(|number| leases(number, platform.address()));
+
+    settle(&entries.each_ref(), Duration::from_secs(3)).await;
+
+    let held = entries.each_ref().map(held);
+    assert!(held.iter().all(|held| *held > 0), "{held:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn released_leases_are_taken_long_before_they_would_expire() {
+    let platform = platform().await;
+    let first = leases(0, platform.address());
+    settle(&[&first], Duration::from_secs(3)).await;
+    let second = leases(1, platform.address());
+
+    let start = Instant::now();
+    first.release().await;
+    assert_eq!(held(&first), 0);
+    assert!(start.elapsed() >= Duration::from_secs(1), "quiet second");
+    let taken = settle(&[&second], TIMING.duration).await;
+
+    assert!(taken < Duration::from_millis(1_500), "{taken:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leases_of_an_entry_that_died_are_waited_out() {
+    let platform = platform().await;
+    let first = leases(0, platform.address());
+    settle(&[&first], Duration::from_secs(3)).await;
+    let second = leases(1, platform.address());
+    sleep(TIMING.renewal * 2).await;
+
+    drop(first);
+    let taken = settle(&[&second], TIMING.duration * 2).await;
+
+    assert!(taken >= TIMING.margin, "{taken:?}");
+}
+
+/// A lost response must not end a lease that was in fact renewed.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_responses_keep_the_leases() {
+    let platform = platform().await;
+    let entry = leases(0, platform.address());
+    settle(&[&entry], Duration::from_secs(3)).await;
+    let fault = Fault {
+        lose_writes: Lose::All,
+        ..Fault::default()
+    };
+    platform.set_fault(fault).await;
+
+    let start = Instant::now();
+    while start.elapsed() < TIMING.duration * 2 {
+        assert_eq!(held(&entry), usize::from(Shard::COUNT));
+        sleep(STEP).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn outage_ends_the_leases_and_recovery_returns_them() {
+    for down in [Down::Refuse, Down::Hang, Down::Fail] {
+        let platform = platform().await;
+        let entry = leases(0, platform.address());
+        settle(&[&entry], Duration::from_secs(3)).await;
+        let fault = Fault {
+            down,
+            ..Fault::default()
+        };
+
+        platform.set_fault(fault).await;
+        sleep(TIMING.duration).await;
+        assert_eq!(held(&entry), 0, "{down:?}");
+        platform.set_fault(Fault::default()).await;
+
+        settle(&[&entry], Duration::from_secs(2)).await;
+    }
+}
+
+/// Joins, deaths, releases and faults in turn; every 5 ms each shard has at
+/// most one holder.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_shard_has_two_holders() {
+    let platform = platform().await;
+    let fault = |down, slow_ms, lose_writes| Fault {
+        down,
+        slow_ms,
+        lose_writes,
+        ..Fault::default()
+    };
+    let faults = [
+        Fault::default(),
+        fault(Down::No, 0, Lose::All),
+        fault(Down::No, 150, Lose::None),
+        fault(Down::Hang, 0, Lose::None),
+        fault(Down::No, 350, Lose::All),
+        Fault::default(),
+        fault(Down::Refuse, 0, Lose::None),
+    ];
+    let mut entries: Vec<_> = (0..3).map(|n| leases(n, platform.address())).collect();
+    let mut released = Vec::new();
+    let mut most_held = 0;
+    for round in 0..14 {
+        platform
+            .set_fault(faults[round % faults.len()].clone())
+            .await;
+        let leaving = entries.remove(0);
+        if round % 2 == 0 {
+            released.push(tokio::spawn(async move { leaving.release().await }));
+        }
+        entries.push(leases(round % 4, platform.address()));
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(1) {
+            let mut sum = 0;
+            for shard in Shard::all() {
+                let holders = entries.iter().filter(|e| e.tenure(shard).is_some());
+                let holders = holders.count();
+                assert!(holders <= 1, "shard {shard} in round {round}");
+                sum += holders;
+            }
+            most_held = most_held.max(sum);
+            sleep(STEP).await;
+        }
+    }
+
+    assert!(most_held > 0, "no lease was ever held");
+    assert!(
+        platform
+            .row(&Shard::of(&"sheets".parse().unwrap()).key(&cell()))
+            .is_some()
+    );
+}
--- /dev/null
+++ b/crates/measure/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! Tests of leases, probes and shares.
+
+mod book;
+mod budget;
+mod fixture;
+mod lease;
+mod leases;
+mod pace;
+mod shares;
+mod target;
--- /dev/null
+++ b/crates/measure/tests/all/pace.rs
@@ -0,0 +1,124 @@
+//! Guards against probes that come closer together at the target than the
+//! budget permits, whatever happens on the way.
+
+use std::time::Duration;
+
+use carobdrift_measure::{Ending, Pace};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::Instant;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Largest number of moments in any window of one second.
+fn most_in_one_second(mut moments: Vec<Instant>) -> usize {
+    moments.sort_unstable();
+    let count = |first: &Instant| {
+        let window = moments.iter().filter(|m| *m >= first);
+        window.take_while(|m| **m < *first + SECOND).count()
+    };
+    moments.iter().map(count).max().unwrap_or(0)
+}
+
+#[test]
+fn a_small_budget_permits_no_probe() {
+    for budget in [0, 1] {
+        let now = Instant::now();
+
+        assert!(!Pace::start(now).permits(budget, now), "{budget}");
+    }
+}
+
+#[test]
+fn probes_use_the_budget_but_one_and_are_evenly_spaced() {
+    for budget in [2, 3, 10, 50] {
+        let start = Instant::now();
+        let mut pace = Pace::start(start);
+        let mut sent = Vec::new();
+        for step in 0..100_000 {
+            let now = start + Duration::from_micros(step * 100);
+            if pace.permits(budget, now) {
+                pace.begin();
+                sent.push(now);
+                pace.end(Ending::Answered, now);
+            }
+        }
+
+        let usable = usize::try_from(budget - 1).unwrap();
+        assert_eq!(most_in_one_second(sent.clone()), usable, "{budget}");
+        assert!(sent.len() > usable * 8, "{budget}: {}", sent.len());
+        let gaps = sent.windows(2).map(|pair| pair[1] - pair[0]);
+        assert!(gaps.min().unwrap() >= SECOND / (budget - 1), "{budget}");
+    }
+}
+
+#[test]
+fn second_probe_waits_for_the_end_of_the_first() {
+    let now = Instant::now();
+    let mut pace = Pace::start(now);
+    pace.begin();
+
+    assert!(!pace.permits(10, now + SECOND * 100));
+    pace.end(Ending::Gone, now + SECOND * 100);
+    assert!(!pace.permits(10, now + SECOND * 100));
+    assert!(pace.permits(10, now + SECOND * 101));
+}
+
+#[test]
+fn budget_that_was_lowered_holds_for_the_next_probe() {
+    let now = Instant::now();
+    let mut pace = Pace::start(now);
+    pace.begin();
+    pace.end(Ending::Answered, now);
+
+    assert!(pace.permits(100, now + SECOND / 2));
+    assert!(!pace.permits(2, now + SECOND / 2));
+}
+
+/// Probes that wait in the sockets of a stopped target run together once it
+/// goes on, although their connections were closed.
+#[test]
+fn stopped_target_finds_no_more_probes_than_one_second_permits() {
+    for budget in [2, 3, 10] {
+        let start = Instant::now();
+        let mut pace = Pace::start(start);
+        let mut waiting = 0;
+        for millis in (0..20_000).step_by(10) {
+            let now = start + Duration::from_millis(millis);
+            if pace.permits(budget, now) {
+                pace.begin();
+                pace.end(Ending::Unanswered, now);
+                waiting += 1;
+            }
+        }
+
+        assert_eq!(waiting, budget - 1);
+        pace.answered(start + SECOND * 20);
+        assert!(pace.permits(budget, start + SECOND * 21));
+    }
+}
+
+#[test]
+fn delays_on_the_way_never_exceed_the_budget() {
+    let mut random = StdRng::seed_from_u64(7);
+    for budget in [2, 3, 5, 20] {
+        let start = Instant::now();
+        let mut now = start;
+        let mut pace = Pace::start(start);
+        let mut arrivals = Vec::new();
+        while now < start + SECOND * 60 {
+            now += Duration::from_millis(5);
+            if !pace.permits(budget, now) {
+                continue;
+            }
+            pace.begin();
+            let mut delay = || Duration::from_millis(random.random_range(0..200));
+            arrivals.push(now + delay());
+            // The answer takes its own time after the arrival.
+            now = arrivals[arrivals.len() - 1] + delay();
+            pace.end(Ending::Answered, now);
+        }
+
+        assert!(most_in_one_second(arrivals) < usize::try_from(budget).unwrap());
+    }
+}
