--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,317 @@
+//! Start, life and stop of an entry.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use carobdrift_admin::{Live, Server, Tokens};
+use carobdrift_balance::{Allowance, Local};
+use carobdrift_catalog::Catalog;
+use carobdrift_document::Limits;
+use carobdrift_idempotency::{Claims, Ledger};
+use carobdrift_measure::{Leases, Owner, Prober, Shares, Timing, follow_members};
+use carobdrift_membership::Links;
+use carobdrift_platform::Client;
+use carobdrift_proxy::{Listener, Services};
+use carobdrift_units::{Incarnation, Team};
+use prometheus::Registry;
+use prometheus::process_collector::ProcessCollector;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+use crate::documents::Documents;
+use crate::error::Error;
+use crate::inbox::Inbox;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::statement;
+use crate::subjects;
+use crate::targets;
+
+/// Probe results that wait to be sent to peers.
+const SAMPLES: usize = 1024;
+
+/// Time that every leaving entry waits at the least, so that peers have seen
+/// that it leaves before it closes its listener.
+const LEAVING_PAUSE: Duration = Duration::from_secs(1);
+
+/// Where an entry is reached.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Addresses {
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address of the administration and discovery API.
+    pub admin: SocketAddr,
+    /// Address for links of other entries.
+    pub peer: SocketAddr,
+}
+
+/// A running entry. Dropping it stops it at once.
+pub struct Entry {
+    addresses: Addresses,
+    settings: Settings,
+    catalog: Catalog,
+    leaving: Arc<AtomicBool>,
+    listener: Listener,
+    server: Server,
+    leases: Leases,
+    _prober: Prober,
+}
+
+impl Entry {
+    /// Starts all parts of an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be listened on.
+    pub async fn spawn(settings: Settings) -> Result<Self, Error> {
+        let registry = Registry::new();
+        registry.register(Box::new(ProcessCollector::for_self()))?;
+        let client = open_client(&settings, &registry)?;
+        let incarnation = Incarnation::draw();
+
+        // The links introduce this entry with the addresses of its other
+        // listeners, so those are bound first.
+        let callers = TcpListener::bind(settings.listen.caller).await.map_err(Error::Caller)?;
+        let caller = callers.local_addr().map_err(Error::Caller)?;
+        let server = Server::bind(admin_settings(&settings, &registry)?)?;
+        let (links, inbox) = bind_links(
+            &settings,
+            incarnation,
+            reachable(&settings, caller),
+            reachable(&settings, server.address()),
+            client.clone(),
+            &registry,
+        )
+        .await?;
+        let addresses = Addresses {
+            caller: links.introduction().caller,
+            admin: links.introduction().admin,
+            peer: links.address(),
+        };
+
+        let catalog = Catalog::spawn(
+            client.clone(),
+            links.clone(),
+            carobdrift_catalog::Metrics::register(&registry)?,
+        );
+        let ledger = open_ledger(&settings, incarnation);
+        let (departures, departed) = mpsc::unbounded_channel();
+        let mut local = Local::new(settings.instance.clone(), settings.zone.clone());
+        local.max_entries = settings.max_entries;
+        local.departures = Some(departures);
+        let teams = open_teams(&settings);
+        let services = Services::open(
+            Arc::new(Documents(catalog.clone())),
+            local,
+            teams.clone(),
+            carobdrift_balance::Metrics::register(&registry)?,
+            carobdrift_proxy::Metrics::register(&registry)?,
+        );
+        let claims = Claims::open(
+            claim_settings(&settings),
+            ledger.clone(),
+            Arc::new(Peers(links.clone())),
+            client.clone(),
+            &registry,
+        )?;
+
+        let measure = carobdrift_measure::Metrics::register(&registry)?;
+        let subjects = subjects::follow(&catalog, &services);
+        let leases = Leases::spawn(
+            carobdrift_measure::Settings {
+                cell: settings.cell.clone(),
+                owner: Owner {
+                    instance: settings.instance.clone(),
+                    incarnation,
+                },
+                timing: Timing::default(),
+            },
+            client,
+            follow_members(&links),
+            measure.clone(),
+        );
+        let shares = Shares::spawn(
+            leases.clone(),
+            links.clone(),
+            subjects.clone(),
+            settings.max_entries,
+            measure.clone(),
+        );
+        let (samples, sampled) = mpsc::channel(SAMPLES);
+        let prober = Prober::spawn(leases.clone(), subjects.clone(), samples, measure);
+
+        targets::spread_samples(links.clone(), sampled);
+        targets::spread_departures(links.clone(), departed);
+        targets::follow_list(&links, subjects.clone());
+        Inbox {
+            catalog: catalog.clone(),
+            ledger: ledger.clone(),
+            services: services.clone(),
+            shares,
+        }
+        .spawn(inbox);
+        let leaving = Arc::new(AtomicBool::new(false));
+        statement::Parts {
+            links: links.clone(),
+            catalog: catalog.clone(),
+            services: services.clone(),
+            subjects,
+            teams: teams.into_values().collect(),
+            leaving: Arc::clone(&leaving),
+        }
+        .spawn();
+
+        let pools = services.clone();
+        let pools = Arc::new(move |service: &_| pools.pool(service));
+        server.serve(Arc::new(Live::new(catalog.clone(), links, ledger, pools)));
+        let listener = Listener::open(
+            callers,
+            carobdrift_proxy::Settings::default(),
+            &settings.instance,
+            services,
+            claims,
+        )?;
+        log::info!(
+            target: "entry",
+            "{} serves callers on {} and the API on {}",
+            settings.instance, addresses.caller, addresses.admin
+        );
+        Ok(Self {
+            addresses,
+            settings,
+            catalog,
+            leaving,
+            listener,
+            server,
+            leases,
+            _prober: prober,
+        })
+    }
+
+    /// Where the entry is reached.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Stops gracefully: leaves the address answer, waits until no caller can
+    /// hold an answer with this entry any more, and ends the requests in
+    /// progress. Returns whether all of them ended in time.
+    pub async fn leave(self) -> bool {
+        self.leaving.store(true, Ordering::Release);
+        let pause = self.longest_time_to_live().max(LEAVING_PAUSE);
+        log::info!(
+            target: "entry",
+            "Leaving. Callers may hold this address for another {} ms.",
+            pause.as_millis()
+        );
+        // The leases are given back meanwhile, so that a successor need not
+        // wait for their end.
+        tokio::join!(tokio::time::sleep(pause), self.leases.release());
+        let ended = self.listener.drain(self.settings.drain_timeout_ms.duration()).await;
+        if let Err(error) = self.server.close().await {
+            log::warn!(target: "entry", "The API did not close: {error}");
+        }
+        log::info!(target: "entry", "Stopped.");
+        ended
+    }
+
+    fn longest_time_to_live(&self) -> Duration {
+        self.catalog
+            .documents()
+            .values()
+            .map(|held| held.document.steering.ttl_ms.duration())
+            .max()
+            .unwrap_or_default()
+    }
+}
+
+fn open_client(settings: &Settings, registry: &Registry) -> Result<Client, Error> {
+    let client = Client::open(carobdrift_platform::Settings {
+        address: settings.platform.address,
+        timeout: settings.platform.timeout_ms.duration(),
+    });
+    Ok(client.with_metrics(carobdrift_platform::Metrics::register(registry)?))
+}
+
+fn admin_settings(
+    settings: &Settings,
+    registry: &Registry,
+) -> Result<carobdrift_admin::Settings, Error> {
+    let teams: Vec<String> = settings
+        .team_tokens
+        .iter()
+        .map(|(team, token)| format!("{team}={}", token.expose()))
+        .collect();
+    let operator = settings.operator_token.as_ref().map(|token| token.expose());
+    Ok(carobdrift_admin::Settings {
+        address: settings.listen.admin,
+        tokens: Tokens::parse(&teams, operator)?,
+        ceilings: settings.ceilings.clone(),
+        steered_rate: settings.steering_rate,
+        registry: registry.clone(),
+    })
+}
+
+async fn bind_links(
+    settings: &Settings,
+    incarnation: Incarnation,
+    caller: SocketAddr,
+    admin: SocketAddr,
+    client: Client,
+    registry: &Registry,
+) -> Result<(Links, carobdrift_membership::Inbox), Error> {
+    let advertise = settings.advertise_ip.map(|ip| SocketAddr::new(ip, settings.listen.peer.port()));
+    let settings = carobdrift_membership::Settings {
+        instance: settings.instance.clone(),
+        incarnation,
+        cell: settings.cell.clone(),
+        zone: settings.zone.clone(),
+        caller,
+        admin,
+        listen: settings.listen.peer,
+        advertise,
+        secret: carobdrift_membership::Secret::new(settings.peer_secret.expose().to_owned()),
+    };
+    let metrics = carobdrift_membership::Metrics::register(registry)?;
+    Ok(Links::bind(settings, client, metrics).await?)
+}
+
+fn open_ledger(settings: &Settings, incarnation: Incarnation) -> Ledger {
+    let limits = carobdrift_idempotency::Limits {
+        lifetime: settings.keys.lifetime_ms.duration(),
+        memory: settings.keys.memory_bytes,
+    };
+    Ledger::open(settings.instance.clone(), incarnation, limits)
+}
+
+fn claim_settings(settings: &Settings) -> carobdrift_idempotency::Settings {
+    carobdrift_idempotency::Settings {
+        table_writes_per_second: settings.keys.writes_per_second,
+        ..carobdrift_idempotency::Settings::default()
+    }
+}
+
+fn open_teams(settings: &Settings) -> BTreeMap<Team, Allowance> {
+    settings
+        .team_limits
+        .iter()
+        .map(|(team, limit)| {
+            let limits = Limits {
+                max_in_flight: limit.in_flight,
+                max_per_second: limit.per_second,
+            };
+            (team.clone(), Allowance::open(limits, settings.max_entries))
+        })
+        .collect()
+}
+
+/// Address under which others reach a listener of this instance.
+fn reachable(settings: &Settings, bound: SocketAddr) -> SocketAddr {
+    let ip: IpAddr = settings.advertise_ip.unwrap_or(bound.ip());
+    SocketAddr::new(ip, bound.port())
+}
--- /dev/null
+++ b/crates/entry/src/inbox.rs
@@ -0,0 +1,97 @@
+//! Frames of peers and the parts that they concern.
+
+use std::time::Duration;
+
+use carobdrift_balance::{Evidence, Sample, Share};
+use carobdrift_catalog::Catalog;
+use carobdrift_idempotency::Ledger;
+use carobdrift_measure::Shares;
+use carobdrift_membership::Inbound;
+use carobdrift_proxy::Services;
+use carobdrift_units::Instance;
+use carobdrift_wire::{Answer, Frame, Query};
+
+/// The parts that peers' frames concern.
+pub(crate) struct Inbox {
+    pub(crate) catalog: Catalog,
+    pub(crate) ledger: Ledger,
+    pub(crate) services: Services,
+    pub(crate) shares: Shares,
+}
+
+impl Inbox {
+    /// Takes frames until the links close.
+    pub(crate) fn spawn(self, mut frames: carobdrift_membership::Inbox) {
+        tokio::spawn(async move {
+            while let Some(inbound) = frames.recv().await {
+                self.take(inbound);
+            }
+        });
+    }
+
+    fn take(&self, inbound: Inbound) {
+        let Inbound { from, frame, reply } = inbound;
+        match &frame {
+            Frame::Query { query, .. } => {
+                if let Some(reply) = reply {
+                    reply.send(self.answer(&from, query));
+                }
+            }
+            Frame::Leaving {
+                service,
+                target,
+                evidence,
+                start,
+            } => {
+                if let Some(pool) = self.services.pool(service) {
+                    pool.mark_leaving(target, convert(*evidence), start.as_deref());
+                }
+            }
+            Frame::Sample(sample) => {
+                if let Some(pool) = self.services.pool(&sample.service) {
+                    pool.learn(&received(sample));
+                }
+            }
+            _ => self.catalog.learn(&from, &frame),
+        }
+    }
+
+    fn answer(&self, from: &Instance, query: &Query) -> Answer {
+        if let Query::Share {
+            service,
+            in_flight,
+            per_second,
+        } = query
+        {
+            let want = Share {
+                in_flight: *in_flight,
+                per_second: *per_second,
+            };
+            return self.shares.answer(from, service, want);
+        }
+        self.ledger
+            .answer(query)
+            .or_else(|| self.catalog.answer(from, query))
+            .unwrap_or(Answer::Unavailable)
+    }
+}
+
+fn convert(evidence: carobdrift_wire::Evidence) -> Evidence {
+    match evidence {
+        carobdrift_wire::Evidence::List => Evidence::List,
+        carobdrift_wire::Evidence::Response => Evidence::Response,
+        carobdrift_wire::Evidence::Document => Evidence::Document,
+    }
+}
+
+fn received(sample: &carobdrift_wire::Sample) -> Sample {
+    Sample {
+        target: sample.target.clone(),
+        in_flight: sample.healthy.then_some(sample.in_flight),
+        latency: Duration::from_micros(sample.latency_us),
+        age: sample.age.duration(),
+        start: sample.start.clone(),
+        healthy: sample.healthy,
+        draining: false,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,18 @@
 //! One running entry: settings, start order, signals and stop.
 
+mod documents;
+mod entry;
+mod error;
+mod inbox;
 mod logging;
+mod peers;
 mod settings;
+mod statement;
+mod subjects;
+mod targets;
 
+pub use entry::{Addresses, Entry};
+pub use error::Error;
 pub use logging::{LogError, set_up_logging};
 pub use settings::{
     Arguments, Ceilings, Fault, Format, Invalid, Keys, Listen, Log, Platform, Problem, Secret,
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -98,7 +98,26 @@
         let address = settings.address;
         let failed = |cause| Error::Listen { address, cause };
         let listener = TcpListener::bind(address).await.map_err(failed)?;
-        let address = listener.local_addr().map_err(failed)?;
+        Self::open(listener, settings, instance, services, claims)
+    }
+
+    /// Starts to serve the callers of a listener that is bound already; the
+    /// address of the settings is not used.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the listener has no address. Must be called within a runtime.
+    pub fn open(
+        listener: TcpListener,
+        settings: Settings,
+        instance: &Instance,
+        services: Services,
+        claims: Claims,
+    ) -> Result<Self, Error> {
+        let address = listener.local_addr().map_err(|cause| Error::Listen {
+            address: settings.address,
+            cause,
+        })?;
         let open = services.metrics().callers.clone();
         let via = HeaderValue::try_from(format!("1.1 {instance}"))
             .unwrap_or_else(|_| HeaderValue::from_static("1.1 carobdrift"));
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -102,6 +102,18 @@
         self.serve(service).map(|served| served.pool.clone())
     }
 
+    /// Requests of each service that have ended since the start.
+    #[must_use]
+    pub fn calls(&self) -> Vec<(Service, u64)> {
+        let served = self.core.served.read().unwrap_or_else(PoisonError::into_inner);
+        let calls = served.iter().map(|(service, served)| {
+            let counts = served.latencies.values();
+            let ended = counts.map(|latencies| latencies.requests.get_sample_count()).sum();
+            (service.clone(), ended)
+        });
+        calls.collect()
+    }
+
     pub(crate) fn documents(&self) -> &dyn Documents {
         &*self.core.documents
     }
