Serve the administration API from the catalog and the links

The API had a backend for tests only. Live shows and edits the catalog, links, pools and ledger of a running entry; the trait now uses the types of the catalog, so that each failure of an edit keeps its meaning. The catalog checks the owner of the stored document, which replaces the check of versions that this instance does not have yet.

The links state the address of the API, and the API shows the links: Server::bind therefore opens the listener first and answers as alive but not ready until Starting::serve hands over the parts. Links::status shows what the entry states of itself.

The preferred addresses of an answer come in random order. In a fixed order, callers that only use the first address would not notice a doubling of entries, and a document that spreads callers over all entries would send them to one per zone.

--- a/crates/admin/src/context.rs
+++ b/crates/admin/src/context.rs
@@ -1,21 +1,23 @@
 //! What every endpoint has at hand.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
+use carobdrift_catalog::Held;
 use carobdrift_document::Ceilings;
 use carobdrift_units::{Service, Team};
 use dropshot::RequestContext;
 use http::header::AUTHORIZATION;
 use prometheus::Registry;
 
-use crate::backend::{Backend, Held};
+use crate::backend::Backend;
 use crate::refusal::{Kind, Refusal};
 use crate::steering::Steering;
 use crate::tokens::{Identity, Tokens};
 
 /// Shared state of the server.
 pub(crate) struct Context {
-    pub(crate) backend: Arc<dyn Backend>,
+    /// Set once the entry has started.
+    pub(crate) backend: OnceLock<Arc<dyn Backend>>,
     pub(crate) tokens: Tokens,
     pub(crate) ceilings: Ceilings,
     pub(crate) steering: Steering,
@@ -42,13 +44,29 @@
             })
     }
 
+    /// The parts of the entry.
+    pub(crate) fn backend(&self) -> Result<&dyn Backend, Refusal> {
+        match self.backend.get() {
+            Some(backend) => Ok(backend.as_ref()),
+            None => Err(Refusal::new(Kind::NotReady, "the entry is starting")),
+        }
+    }
+
+    /// The document in force of a service.
+    pub(crate) fn held(&self, service: &Service) -> Result<Arc<Held>, Refusal> {
+        let documents = self.backend()?.documents();
+        let held = documents.get(service).cloned();
+        held.ok_or_else(|| no_document(service))
+    }
+
     /// The document in force of a service that the caller may see.
-    pub(crate) fn visible(&self, request: &Request, service: &Service) -> Result<Held, Refusal> {
+    pub(crate) fn visible(
+        &self,
+        request: &Request,
+        service: &Service,
+    ) -> Result<Arc<Held>, Refusal> {
         let identity = self.identify(request)?;
-        let held = self
-            .backend
-            .held(service)
-            .ok_or_else(|| no_document(service))?;
+        let held = self.held(service)?;
         permit(identity, &held.document.team)?;
         Ok(held)
     }
@@ -66,7 +84,7 @@
     }
 }
 
-pub(crate) fn no_document(service: &Service) -> Refusal {
+fn no_document(service: &Service) -> Refusal {
     Refusal::new(
         Kind::NotFound,
         format!("service {service} has no document in force on this instance"),
--- a/crates/admin/src/discovery.rs
+++ b/crates/admin/src/discovery.rs
@@ -6,11 +6,12 @@
 
 use carobdrift_units::{Instance, Millis, Service, Zone};
 use dropshot::{HttpResponseOk, Query, RequestContext, endpoint};
+use rand::seq::SliceRandom;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::backend::{Backend, Entry};
-use crate::context::{Context, no_document};
+use crate::context::Context;
 use crate::refusal::{Kind, Refusal};
 use crate::steering::Candidate;
 
@@ -44,7 +45,8 @@
     /// Time for which the answer may be kept.
     ttl_ms: Millis,
     /// How many addresses, from the start, the caller should spread its calls
-    /// over. The others are for when these fail, in their order.
+    /// over; these are in random order. The others are for when these fail, in
+    /// their order.
     preferred: usize,
     addresses: Vec<Destination>,
     /// Prefix for idempotency keys; absent while this instance is leaving,
@@ -60,12 +62,10 @@
 ) -> Result<HttpResponseOk<Answer>, Refusal> {
     let context = request.context();
     let AddressQuery { service, zone } = query.into_inner();
-    let backend = &context.backend;
-    let held = backend
-        .held(&service)
-        .ok_or_else(|| no_document(&service))?;
+    let backend = context.backend()?;
+    let held = context.held(&service)?;
     let steering = &held.document.steering;
-    let mut entries = serving(backend.as_ref());
+    let mut entries = serving(backend);
     let candidates: Vec<Candidate> = entries
         .values()
         .map(|entry| Candidate {
@@ -74,9 +74,11 @@
             rate: rate(entry, &service),
         })
         .collect();
-    let order = context
+    let mut order = context
         .steering
         .order(&service, &zone, steering.entries_per_zone, &candidates);
+    // Also spreads callers that only use the first address.
+    order.instances[..order.preferred].shuffle(&mut rand::rng());
     let addresses: Vec<Destination> = order
         .instances
         .iter()
@@ -94,7 +96,7 @@
         let message = "no entry that this instance hears is ready";
         return Err(Refusal::new(Kind::Unavailable, message));
     }
-    let leaving = backend.itself().status.leaving;
+    let leaving = backend.itself().leaving;
     Ok(HttpResponseOk(Answer {
         service,
         ttl_ms: steering.ttl_ms,
@@ -106,19 +108,20 @@
 
 /// Entries that take calls now, as far as this one knows.
 fn serving(backend: &dyn Backend) -> HashMap<Instance, Entry> {
-    std::iter::once(backend.itself())
+    // Its own status follows its standing with a delay.
+    let itself = backend.standing().serves().then(|| backend.itself());
+    itself
+        .into_iter()
         .chain(backend.peers())
-        .filter(|entry| entry.status.ready && !entry.status.leaving)
+        .filter(Entry::is_ready)
         .filter(|entry| entry.heard.is_some_and(|silent| silent < SILENCE))
         .map(|entry| (entry.instance.clone(), entry))
         .collect()
 }
 
 fn rate(entry: &Entry, service: &Service) -> f64 {
-    entry
-        .status
-        .rates
-        .iter()
+    let rates = entry.status.iter().flat_map(|status| &status.rates);
+    rates
         .filter(|rate| rate.service == *service)
         .map(|rate| rate.per_second)
         .sum()
--- a/crates/admin/src/documents.rs
+++ b/crates/admin/src/documents.rs
@@ -1,13 +1,14 @@
 //! Reads and edits of documents.
 
+use carobdrift_catalog::{Edit, Standing};
 use carobdrift_document::Document;
 use carobdrift_units::{EditId, Instance, Millis, Revision, Service, Team, Version};
 use dropshot::{HttpResponseOk, Path, Query, RequestContext, UntypedBody, endpoint};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
-use crate::backend::{Edit, Held, Standing};
-use crate::context::{Context, no_document, permit};
+use crate::context::{Context, permit};
 use crate::refusal::{Kind, Refusal};
 use crate::tokens::Identity;
 
@@ -104,25 +105,17 @@
 /// A document that was in force once.
 #[derive(Serialize, JsonSchema)]
 pub(crate) struct PastDocument {
-    /// The document with all defaults.
-    document: Document,
+    /// The document as it was accepted.
+    document: Value,
     /// Its version.
     version: Version,
 }
 
-/// An accepted version.
-#[derive(Serialize, JsonSchema)]
-struct Change {
-    version: Version,
-    /// Edit that made it.
-    edit_id: EditId,
-}
-
 #[derive(Serialize, JsonSchema)]
 pub(crate) struct History {
     service: Service,
-    /// Newest first.
-    versions: Vec<Change>,
+    /// Accepted versions, newest first.
+    versions: Vec<Version>,
 }
 
 /// What one instance has in force.
@@ -153,9 +146,9 @@
     revision: Revision,
     edit_id: EditId,
     /// Instances that have the version in force so far.
-    in_force: u32,
+    in_force: usize,
     /// Instances of the cell.
-    cell_size: u32,
+    cell_size: usize,
 }
 
 /// Outcome of an accepted edit.
@@ -174,10 +167,10 @@
 ) -> Result<HttpResponseOk<Documents>, Refusal> {
     let context = request.context();
     let identity = context.identify(&request)?;
-    let mut documents: Vec<Listed> = context
-        .backend
+    let documents = context
+        .backend()?
         .documents()
-        .into_iter()
+        .values()
         .filter(|held| permit(identity, &held.document.team).is_ok())
         .map(|held| Listed {
             service: held.document.service.clone(),
@@ -185,10 +178,9 @@
             version: held.version,
         })
         .collect();
-    documents.sort_by(|a, b| a.service.cmp(&b.service));
     Ok(HttpResponseOk(Documents {
         documents,
-        currency: context.backend.standing().into(),
+        currency: context.backend()?.standing().into(),
     }))
 }
 
@@ -203,7 +195,7 @@
     Ok(HttpResponseOk(Current {
         document: Document::clone(&held.document),
         version: held.version,
-        currency: context.backend.standing().into(),
+        currency: context.backend()?.standing().into(),
     }))
 }
 
@@ -219,9 +211,7 @@
     let identity = context.identify(&request)?;
     let service = path.into_inner().service;
     let query = query.into_inner();
-    let expected = query.expected_version;
-    let held = context.backend.held(&service);
-    if let Some(held) = &held {
+    if let Some(held) = context.backend()?.documents().get(&service) {
         permit(identity, &held.document.team)?;
     }
     let document = Document::parse(body.as_bytes())?;
@@ -231,58 +221,42 @@
         return Err(Refusal::new(Kind::Malformed, message));
     }
     permit(identity, &document.team)?;
-    if *identity != Identity::Operator {
-        require_owner_known(held.as_ref(), expected, &service)?;
-    }
+    // The stored document may be newer than the one here, with another owner.
+    let owner = match identity {
+        Identity::Operator => None,
+        Identity::Team(team) => Some(team.clone()),
+    };
     let id = query.edit_id.unwrap_or_else(EditId::draw);
     let edit = Edit {
         id: id.clone(),
         document,
-        expected,
+        expected: query.expected_version,
+        owner,
     };
-    match context.backend.edit(edit).await {
+    match context.backend()?.edit(edit).await {
         Ok(accepted) => {
+            let outcome = accepted.outcome;
             log::info!(
                 target: "admin",
-                "Edit {id} made version {} of service {service}.",
-                accepted.version
+                "edit {id} made version {} of {service}",
+                outcome.version
             );
             Ok(HttpResponseOk(AcceptedEdit {
                 service,
-                version: accepted.version,
-                revision: accepted.revision,
+                version: outcome.version,
+                revision: outcome.revision,
                 edit_id: id,
                 in_force: accepted.in_force,
                 cell_size: accepted.cell_size,
             }))
         }
         Err(error) => {
-            log::warn!(target: "admin", "Edit {id} of service {service} failed: {error}.");
+            log::warn!(target: "admin", "edit {id} of {service} failed: {error}");
             Err(Refusal::of_edit(&error, id))
         }
     }
 }
 
-/// Refuses an edit that is based on a newer version than this entry has. The
-/// newer version may belong to another team.
-fn require_owner_known(
-    held: Option<&Held>,
-    expected: Version,
-    service: &Service,
-) -> Result<(), Refusal> {
-    let known = held.map_or(Version::NONE, |held| held.version);
-    if known >= expected {
-        return Ok(());
-    }
-    Err(Refusal::new(
-        Kind::Unavailable,
-        format!(
-            "this instance has version {known} of service {service}, not yet {expected}; \
-             nothing was written"
-        ),
-    ))
-}
-
 /// List the accepted versions of a service.
 #[endpoint { method = GET, path = "/v1/documents/{service}/history" }]
 pub(crate) async fn list_history(
@@ -292,14 +266,8 @@
     let context = request.context();
     let service = path.into_inner().service;
     context.visible(&request, &service)?;
-    let versions = context.backend.history(service.clone()).await?;
-    let versions = versions
-        .into_iter()
-        .map(|past| Change {
-            version: past.version,
-            edit_id: past.edit,
-        })
-        .collect();
+    let mut versions = context.backend()?.history(&service);
+    versions.reverse();
     Ok(HttpResponseOk(History { service, versions }))
 }
 
@@ -312,11 +280,16 @@
     let context = request.context();
     let VersionPath { service, version } = path.into_inner();
     context.visible(&request, &service)?;
-    let document = context.backend.past(service.clone(), version).await?;
-    let document = document.ok_or_else(|| {
-        let message = format!("service {service} has no version {version}");
+    let body = context.backend()?.body(service.clone(), version).await?;
+    let body = body.ok_or_else(|| {
+        let message = format!("version {version} of {service} is not stored");
         Refusal::new(Kind::NotFound, message)
     })?;
+    // Not parsed as a document: the rules may have become stricter since.
+    let document = serde_json::from_str(&body).map_err(|error| {
+        let message = format!("version {version} of {service} is not readable: {error}");
+        Refusal::new(Kind::Internal, message)
+    })?;
     Ok(HttpResponseOk(PastDocument { document, version }))
 }
 
@@ -330,7 +303,7 @@
     let service = path.into_inner().service;
     let held = context.visible(&request, &service)?;
     let mut instances: Vec<InstanceVersion> = context
-        .backend
+        .backend()?
         .in_force(service.clone())
         .await
         .into_iter()
@@ -358,14 +331,13 @@
     let context = request.context();
     let identity = context.identify(&request)?;
     let edit_id = path.into_inner().edit_id;
-    let outcome = context.backend.outcome(edit_id.clone()).await?;
+    let outcome = context.backend()?.edit_outcome(edit_id.clone()).await?;
     let outcome = outcome.ok_or_else(|| {
         let message = format!("no edit {edit_id} was accepted so far");
         Refusal::new(Kind::NotFound, message)
     })?;
     if *identity != Identity::Operator {
-        let held = context.backend.held(&outcome.service);
-        let held = held.ok_or_else(|| no_document(&outcome.service))?;
+        let held = context.held(&outcome.service)?;
         permit(identity, &held.document.team)?;
     }
     Ok(HttpResponseOk(EditOutcome {
--- a/crates/admin/src/instances.rs
+++ b/crates/admin/src/instances.rs
@@ -9,9 +9,9 @@
 use serde::Serialize;
 
 use crate::backend::Entry;
-use crate::context::{Context, no_document};
+use crate::context::Context;
 use crate::documents::ServicePath;
-use crate::refusal::Refusal;
+use crate::refusal::{Kind, Refusal};
 
 /// A target as this entry sees it.
 #[derive(Serialize, JsonSchema)]
@@ -87,10 +87,12 @@
     admin: SocketAddr,
     ready: bool,
     leaving: bool,
-    /// Whether its last call to the table service succeeded.
-    store_reachable: bool,
-    /// Newest position of the change log that it has in force.
-    revision: Revision,
+    /// Whether its last call to the table service succeeded; absent when it
+    /// was not heard yet.
+    store_reachable: Option<bool>,
+    /// Newest position of the change log that it has in force; absent when it
+    /// was not heard yet.
+    revision: Option<Revision>,
     /// Age of its confirmation when it last stated it.
     confirmed_ms: Option<Millis>,
     /// Milliseconds since it was heard; absent when it was not heard yet.
@@ -141,16 +143,17 @@
 
 impl From<Entry> for Known {
     fn from(entry: Entry) -> Self {
+        let status = entry.status.as_ref();
         Self {
+            ready: entry.is_ready(),
             instance: entry.instance,
             zone: entry.zone,
             caller: entry.caller,
             admin: entry.admin,
-            ready: entry.status.ready,
-            leaving: entry.status.leaving,
-            store_reachable: entry.status.store_reachable,
-            revision: entry.status.revision,
-            confirmed_ms: entry.status.confirmed,
+            leaving: entry.leaving,
+            store_reachable: status.map(|status| status.store_reachable),
+            revision: status.map(|status| status.revision),
+            confirmed_ms: status.and_then(|status| status.confirmed),
             heard_ms: entry.heard.map(Millis::from),
         }
     }
@@ -165,8 +168,11 @@
     let context = request.context();
     let service = path.into_inner().service;
     context.visible(&request, &service)?;
-    let views = context.backend.targets(&service);
-    let views = views.ok_or_else(|| no_document(&service))?;
+    let views = context.backend()?.targets(&service);
+    let views = views.ok_or_else(|| {
+        let message = format!("this instance does not serve {service} yet");
+        Refusal::new(Kind::NotReady, message)
+    })?;
     Ok(HttpResponseOk(Targets {
         service,
         targets: views.into_iter().map(Seen::from).collect(),
@@ -180,10 +186,10 @@
 ) -> Result<HttpResponseOk<Instances>, Refusal> {
     let context = request.context();
     context.identify(&request)?;
-    let itself = context.backend.itself();
+    let itself = context.backend()?.itself();
     let name = itself.instance.clone();
     let mut instances: Vec<Known> = std::iter::once(itself)
-        .chain(context.backend.peers())
+        .chain(context.backend()?.peers())
         .map(Known::from)
         .collect();
     instances.sort_by(|a, b| a.instance.cmp(&b.instance));
--- /dev/null
+++ b/crates/admin/src/live.rs
@@ -0,0 +1,155 @@
+//! The backend of a running entry.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use carobdrift_balance::{Pool, TargetView};
+use carobdrift_catalog::{Accepted, Catalog, Documents, Edit, EditError, Outcome, Standing};
+use carobdrift_idempotency::Ledger;
+use carobdrift_membership::{Links, Peer};
+use carobdrift_platform::Error;
+use carobdrift_units::{EditId, Instance, Service, Version};
+use carobdrift_wire::{Answer, Query};
+use futures_util::future::{BoxFuture, join_all};
+
+use crate::backend::{Backend, Entry, InForce};
+
+/// Time within which a peer must state its versions.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Finds the pool of a service that the entry serves.
+pub type Pools = Arc<dyn Fn(&Service) -> Option<Pool> + Send + Sync>;
+
+/// The parts of a running entry.
+#[derive(Clone)]
+pub struct Live {
+    catalog: Catalog,
+    links: Links,
+    ledger: Ledger,
+    pools: Pools,
+}
+
+impl Live {
+    /// Shows and edits the given parts.
+    #[must_use]
+    pub fn new(catalog: Catalog, links: Links, ledger: Ledger, pools: Pools) -> Self {
+        Self {
+            catalog,
+            links,
+            ledger,
+            pools,
+        }
+    }
+
+    async fn ask(&self, instance: Instance, service: &Service) -> InForce {
+        let answer = self.links.query(&instance, Query::Versions, STATUS_TIMEOUT);
+        let (version, answered) = match answer.await {
+            Ok(Answer::Versions {
+                versions,
+                unreadable,
+                ..
+            }) => {
+                let found = versions.into_iter().find(|(name, _)| name == service);
+                let served = found.filter(|(name, _)| !unreadable.contains(name));
+                (served.map(|(_, version)| version), true)
+            }
+            Ok(_) => (None, false),
+            Err(error) => {
+                log::debug!(target: "admin", "{instance} did not state its versions: {error}");
+                (None, false)
+            }
+        };
+        InForce {
+            instance,
+            version,
+            answered,
+        }
+    }
+}
+
+impl From<Peer> for Entry {
+    fn from(peer: Peer) -> Self {
+        let stated = peer.status.as_ref().is_some_and(|status| status.leaving);
+        Self {
+            instance: peer.instance,
+            zone: peer.zone,
+            caller: peer.caller,
+            admin: peer.admin,
+            leaving: peer.leaving || stated,
+            status: peer.status,
+            heard: peer
+                .heard
+                .map(|sent| Instant::now().saturating_duration_since(sent)),
+        }
+    }
+}
+
+impl Backend for Live {
+    fn documents(&self) -> Arc<Documents> {
+        self.catalog.documents()
+    }
+
+    fn standing(&self) -> Standing {
+        self.catalog.standing()
+    }
+
+    fn itself(&self) -> Entry {
+        let hello = self.links.introduction();
+        let status = self.links.status();
+        Entry {
+            instance: hello.instance.clone(),
+            zone: hello.zone.clone(),
+            caller: hello.caller,
+            admin: hello.admin,
+            leaving: status.leaving,
+            status: Some(status),
+            heard: Some(Duration::ZERO),
+        }
+    }
+
+    fn peers(&self) -> Vec<Entry> {
+        self.links.peers().into_iter().map(Entry::from).collect()
+    }
+
+    fn targets(&self, service: &Service) -> Option<Vec<TargetView>> {
+        (self.pools)(service).map(|pool| pool.view())
+    }
+
+    fn key_prefix(&self) -> String {
+        self.ledger.prefix().to_string()
+    }
+
+    fn history(&self, service: &Service) -> Vec<Version> {
+        self.catalog.history(service)
+    }
+
+    fn body(
+        &self,
+        service: Service,
+        version: Version,
+    ) -> BoxFuture<'_, Result<Option<String>, Error>> {
+        Box::pin(async move { self.catalog.body(&service, version).await })
+    }
+
+    fn edit(&self, edit: Edit) -> BoxFuture<'_, Result<Accepted, EditError>> {
+        Box::pin(self.catalog.edit(edit))
+    }
+
+    fn edit_outcome(&self, id: EditId) -> BoxFuture<'_, Result<Option<Outcome>, Error>> {
+        Box::pin(async move { self.catalog.edit_outcome(&id).await })
+    }
+
+    fn in_force(&self, service: Service) -> BoxFuture<'_, Vec<InForce>> {
+        Box::pin(async move {
+            let own = InForce {
+                instance: self.links.introduction().instance.clone(),
+                version: self.catalog.held(&service).map(|held| held.version),
+                answered: true,
+            };
+            let peers = self.links.peers().into_iter();
+            let mut answers = join_all(peers.map(|peer| self.ask(peer.instance, &service))).await;
+            answers.push(own);
+            answers
+        })
+    }
+}
--- a/crates/admin/src/operations.rs
+++ b/crates/admin/src/operations.rs
@@ -1,5 +1,6 @@
 //! Health, readiness and metrics.
 
+use carobdrift_catalog::Standing;
 use dropshot::{Body, HttpResponseOk, RequestContext, endpoint};
 use http::Response;
 use http::header::CONTENT_TYPE;
@@ -7,7 +8,6 @@
 use schemars::JsonSchema;
 use serde::Serialize;
 
-use crate::backend::Standing;
 use crate::context::Context;
 use crate::refusal::{Kind, Refusal};
 
@@ -36,13 +36,13 @@
 pub(crate) async fn check_readiness(
     request: RequestContext<Context>,
 ) -> Result<HttpResponseOk<Readiness>, Refusal> {
-    let backend = &request.context().backend;
-    let status = backend.itself().status;
-    let problem = if status.leaving {
+    let backend = request.context().backend()?;
+    let itself = backend.itself();
+    let problem = if itself.leaving {
         Some("the entry is leaving")
     } else if backend.standing() == Standing::Unconfirmed {
         Some("the documents in force are not confirmed")
-    } else if !status.ready {
+    } else if !itself.is_ready() {
         Some("the entry has not started completely")
     } else {
         None
--- a/crates/admin/src/refusal.rs
+++ b/crates/admin/src/refusal.rs
@@ -2,14 +2,14 @@
 
 use std::fmt;
 
+use carobdrift_catalog::EditError;
 use carobdrift_document::{Fault, Rejection};
+use carobdrift_platform::Error;
 use carobdrift_units::{EditId, Version};
 use dropshot::{ErrorStatusCode, HttpError, HttpResponseError};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use crate::backend::{EditError, ReadError};
-
 /// Why a call was refused or failed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Refusal {
@@ -46,11 +46,14 @@
     Conflict,
     /// The edit id is already used for another edit.
     Reused,
+    /// The service belongs to another cell.
+    OtherCell,
     /// The entry is not ready to take calls.
     NotReady,
     /// The entry hears too few peers to accept an edit; nothing was written.
     NoQuorum,
-    /// Something that the call needs can't be reached; nothing was written.
+    /// Something that the call needs can't be reached or read; nothing was
+    /// written.
     Unavailable,
     /// The edit may have taken effect; its outcome can be asked for.
     Unknown,
@@ -70,12 +73,21 @@
     }
 
     pub(crate) fn of_edit(error: &EditError, edit_id: EditId) -> Self {
-        let (kind, current_version) = match error {
-            EditError::Conflict { current } => (Kind::Conflict, Some(*current)),
-            EditError::Reused => (Kind::Reused, None),
-            EditError::NoQuorum { .. } => (Kind::NoQuorum, None),
-            EditError::Unavailable => (Kind::Unavailable, None),
-            EditError::Unknown => (Kind::Unknown, None),
+        let kind = match error {
+            EditError::Conflict { .. } => Kind::Conflict,
+            EditError::IdReused(_) => Kind::Reused,
+            EditError::NotOwner { .. } => Kind::Forbidden,
+            EditError::OtherCell { .. } => Kind::OtherCell,
+            EditError::NoQuorum { .. } => Kind::NoQuorum,
+            EditError::Contention
+            | EditError::Encode(_)
+            | EditError::Malformed { .. }
+            | EditError::Unavailable(_) => Kind::Unavailable,
+            EditError::Unknown { .. } | EditError::Stopping(_) => Kind::Unknown,
+        };
+        let current_version = match error {
+            EditError::Conflict { current, .. } => Some(*current),
+            _ => None,
         };
         Self {
             current_version,
@@ -94,13 +106,9 @@
     }
 }
 
-impl From<ReadError> for Refusal {
-    fn from(error: ReadError) -> Self {
-        let kind = match &error {
-            ReadError::Unavailable => Kind::Unavailable,
-            ReadError::Unreadable(_) => Kind::Internal,
-        };
-        Self::new(kind, error.to_string())
+impl From<Error> for Refusal {
+    fn from(error: Error) -> Self {
+        Self::new(Kind::Unavailable, error.to_string())
     }
 }
 
@@ -129,7 +137,7 @@
             Kind::Unauthorized => ErrorStatusCode::UNAUTHORIZED,
             Kind::Forbidden => ErrorStatusCode::FORBIDDEN,
             Kind::NotFound => ErrorStatusCode::NOT_FOUND,
-            Kind::Conflict => ErrorStatusCode::CONFLICT,
+            Kind::Conflict | Kind::OtherCell => ErrorStatusCode::CONFLICT,
             Kind::Reused => ErrorStatusCode::UNPROCESSABLE_ENTITY,
             Kind::NotReady | Kind::NoQuorum | Kind::Unavailable => {
                 ErrorStatusCode::SERVICE_UNAVAILABLE
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -1,7 +1,7 @@
 //! The server and its settings.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use carobdrift_document::Ceilings;
 use carobdrift_units::PerSecond;
@@ -56,18 +56,23 @@
     Close(String),
 }
 
+/// A listener whose entry is still starting. It answers as alive and refuses
+/// all else as not ready.
+pub struct Starting(HttpServer<Context>);
+
 /// The running API.
 pub struct Server(HttpServer<Context>);
 
 impl Server {
-    /// Opens the listener and starts to serve. Must be called within a runtime.
+    /// Opens the listener, so that its address is known before the parts of the
+    /// entry that state it start. Must be called within a runtime.
     ///
     /// # Errors
     ///
     /// Fails when the address can't be bound.
-    pub fn bind(settings: Settings, backend: Arc<dyn Backend>) -> Result<Self, Error> {
+    pub fn bind(settings: Settings) -> Result<Starting, Error> {
         let context = Context {
-            backend,
+            backend: OnceLock::new(),
             tokens: settings.tokens,
             ceilings: settings.ceilings,
             steering: Steering::new(settings.steered_rate),
@@ -81,7 +86,7 @@
         let server = ServerBuilder::new(description()?, context, log::logger())
             .config(config)
             .start()?;
-        Ok(Self(server))
+        Ok(Starting(server))
     }
 
     /// Address of the listener.
@@ -100,6 +105,21 @@
     }
 }
 
+impl Starting {
+    /// Address of the listener.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr()
+    }
+
+    /// Starts to serve all endpoints.
+    #[must_use]
+    pub fn serve(self, backend: Arc<dyn Backend>) -> Server {
+        self.0.app_private().backend.get_or_init(|| backend);
+        Server(self.0)
+    }
+}
+
 /// The `OpenAPI` description of the API, as committed in `docs/openapi.json`.
 ///
 /// # Errors
--- a/crates/admin/tests/all/main.rs
+++ b/crates/admin/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod authorization;
 mod documents;
 mod fixture;
+mod live;
 mod openapi;
 mod operations;
 mod steering;
--- a/crates/membership/src/links.rs
+++ b/crates/membership/src/links.rs
@@ -119,6 +119,12 @@
         &self.shared.hello
     }
 
+    /// What this entry states of itself now.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        self.shared.status()
+    }
+
     /// Address at which peers reach this entry.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/src/commands/document.rs
+++ b/src/commands/document.rs
@@ -205,7 +205,7 @@
 /// without a typed reason may have written before.
 fn is_unknown(refusal: &Refusal) -> bool {
     match refusal.error.as_deref() {
-        Some("unavailable" | "no-quorum") => false,
+        Some("unavailable" | "no-quorum" | "not-ready") => false,
         Some("unknown") => true,
         _ => refusal.status.is_server_error(),
     }
