--- a/crates/document/src/ceilings.rs
+++ b/crates/document/src/ceilings.rs
@@ -1,12 +1,13 @@
 //! Ceilings that the operator of the platform sets for all documents.
 
 use carobdrift_units::{ByteSize, Millis, Percent};
+use serde::Serialize;
 
 use crate::fault::{Faults, Rejection};
 use crate::model::Document;
 
 /// Largest values that any document of the installation may have.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Ceilings {
     /// Requests in progress per service, over all entries.
     pub max_in_flight: u32,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use carobdrift_admin::{Live, Server, Tokens};
-use carobdrift_balance::{Allowance, Local};
+use carobdrift_balance::{Allowance, Departure, Local};
 use carobdrift_catalog::Catalog;
 use carobdrift_document::Limits;
 use carobdrift_idempotency::{Claims, Ledger};
-use carobdrift_measure::{Leases, Owner, Prober, Shares, Timing, follow_members};
+use carobdrift_measure::{Leases, Prober};
 use carobdrift_membership::Links;
 use carobdrift_platform::Client;
 use carobdrift_proxy::{Listener, Services};
@@ -25,15 +25,13 @@
 use crate::documents::Documents;
 use crate::error::Error;
 use crate::inbox::Inbox;
+use crate::measuring::Measuring;
 use crate::peers::Peers;
-use crate::settings::Settings;
+use crate::settings::{Secret, Settings};
 use crate::statement;
 use crate::subjects;
 use crate::targets;
 
-/// Probe results that wait to be sent to peers.
-const SAMPLES: usize = 1024;
-
 /// Time that every leaving entry waits at the least, so that peers have seen
 /// that it leaves before it closes its listener.
 const LEAVING_PAUSE: Duration = Duration::from_secs(1);
@@ -75,7 +73,9 @@
 
         // The links introduce this entry with the addresses of its other
         // listeners, so those are bound first.
-        let callers = TcpListener::bind(settings.listen.caller).await.map_err(Error::Caller)?;
+        let callers = TcpListener::bind(settings.listen.caller)
+            .await
+            .map_err(Error::Caller)?;
         let caller = callers.local_addr().map_err(Error::Caller)?;
         let server = Server::bind(admin_settings(&settings, &registry)?)?;
         let (links, inbox) = bind_links(
@@ -99,10 +99,7 @@
             carobdrift_catalog::Metrics::register(&registry)?,
         );
         let ledger = open_ledger(&settings, incarnation);
-        let (departures, departed) = mpsc::unbounded_channel();
-        let mut local = Local::new(settings.instance.clone(), settings.zone.clone());
-        local.max_entries = settings.max_entries;
-        local.departures = Some(departures);
+        let (local, departures) = open_local(&settings);
         let teams = open_teams(&settings);
         let services = Services::open(
             Arc::new(Documents(catalog.clone())),
@@ -119,39 +116,22 @@
             &registry,
         )?;
 
-        let measure = carobdrift_measure::Metrics::register(&registry)?;
         let subjects = subjects::follow(&catalog, &services);
-        let leases = Leases::spawn(
-            carobdrift_measure::Settings {
-                cell: settings.cell.clone(),
-                owner: Owner {
-                    instance: settings.instance.clone(),
-                    incarnation,
-                },
-                timing: Timing::default(),
-            },
+        let measuring = Measuring::spawn(
+            &settings,
+            incarnation,
             client,
-            follow_members(&links),
-            measure.clone(),
-        );
-        let shares = Shares::spawn(
-            leases.clone(),
-            links.clone(),
-            subjects.clone(),
-            settings.max_entries,
-            measure.clone(),
+            &links,
+            &subjects,
+            carobdrift_measure::Metrics::register(&registry)?,
         );
-        let (samples, sampled) = mpsc::channel(SAMPLES);
-        let prober = Prober::spawn(leases.clone(), subjects.clone(), samples, measure);
-
-        targets::spread_samples(links.clone(), sampled);
-        targets::spread_departures(links.clone(), departed);
+        targets::spread_departures(links.clone(), departures);
         targets::follow_list(&links, subjects.clone());
         Inbox {
             catalog: catalog.clone(),
             ledger: ledger.clone(),
             services: services.clone(),
-            shares,
+            shares: measuring.shares,
         }
         .spawn(inbox);
         let leaving = Arc::new(AtomicBool::new(false));
@@ -167,7 +147,7 @@
 
         let pools = services.clone();
         let pools = Arc::new(move |service: &_| pools.pool(service));
-        server.serve(Arc::new(Live::new(catalog.clone(), links, ledger, pools)));
+        let server = server.serve(Arc::new(Live::new(catalog.clone(), links, ledger, pools)));
         let listener = Listener::open(
             callers,
             carobdrift_proxy::Settings::default(),
@@ -187,8 +167,8 @@
             leaving,
             listener,
             server,
-            leases,
-            _prober: prober,
+            leases: measuring.leases,
+            _prober: measuring.prober,
         })
     }
 
@@ -212,7 +192,10 @@
         // The leases are given back meanwhile, so that a successor need not
         // wait for their end.
         tokio::join!(tokio::time::sleep(pause), self.leases.release());
-        let ended = self.listener.drain(self.settings.drain_timeout_ms.duration()).await;
+        let ended = self
+            .listener
+            .drain(self.settings.drain_timeout_ms.duration())
+            .await;
         if let Err(error) = self.server.close().await {
             log::warn!(target: "entry", "The API did not close: {error}");
         }
@@ -247,10 +230,10 @@
         .iter()
         .map(|(team, token)| format!("{team}={}", token.expose()))
         .collect();
-    let operator = settings.operator_token.as_ref().map(|token| token.expose());
+    let operator = settings.operator_token.as_ref().map(Secret::expose);
     Ok(carobdrift_admin::Settings {
         address: settings.listen.admin,
-        tokens: Tokens::parse(&teams, operator)?,
+        tokens: Tokens::parse(operator, &teams)?,
         ceilings: settings.ceilings.clone(),
         steered_rate: settings.steering_rate,
         registry: registry.clone(),
@@ -265,7 +248,9 @@
     client: Client,
     registry: &Registry,
 ) -> Result<(Links, carobdrift_membership::Inbox), Error> {
-    let advertise = settings.advertise_ip.map(|ip| SocketAddr::new(ip, settings.listen.peer.port()));
+    let advertise = settings
+        .advertise_ip
+        .map(|ip| SocketAddr::new(ip, settings.listen.peer.port()));
     let settings = carobdrift_membership::Settings {
         instance: settings.instance.clone(),
         incarnation,
@@ -281,6 +266,16 @@
     Ok(Links::bind(settings, client, metrics).await?)
 }
 
+/// What the pools know of this entry, and the targets that they mark as
+/// leaving.
+fn open_local(settings: &Settings) -> (Local, mpsc::UnboundedReceiver<Departure>) {
+    let (sender, departures) = mpsc::unbounded_channel();
+    let mut local = Local::new(settings.instance.clone(), settings.zone.clone());
+    local.max_entries = settings.max_entries;
+    local.departures = Some(sender);
+    (local, departures)
+}
+
 fn open_ledger(settings: &Settings, incarnation: Incarnation) -> Ledger {
     let limits = carobdrift_idempotency::Limits {
         lifetime: settings.keys.lifetime_ms.duration(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod error;
 mod inbox;
 mod logging;
+mod measuring;
 mod peers;
 mod settings;
 mod statement;
@@ -15,6 +16,6 @@
 pub use error::Error;
 pub use logging::{LogError, set_up_logging};
 pub use settings::{
-    Arguments, Ceilings, Fault, Format, Invalid, Keys, Listen, Log, Platform, Problem, Secret,
-    Settings, TeamLimit,
+    Arguments, Fault, Format, Invalid, Keys, Listen, Log, Platform, Problem, Secret, Settings,
+    TeamLimit,
 };
--- /dev/null
+++ b/crates/entry/src/measuring.rs
@@ -0,0 +1,64 @@
+//! Shard leases and what their holder does.
+
+use carobdrift_measure::{
+    Leases, Metrics, Owner, Prober, Settings as LeaseSettings, Shares, Subjects, Timing,
+    follow_members,
+};
+use carobdrift_membership::Links;
+use carobdrift_platform::Client;
+use carobdrift_units::Incarnation;
+use tokio::sync::mpsc;
+
+use crate::settings::Settings;
+use crate::targets;
+
+/// Probe results that wait to be sent to peers.
+const SAMPLES: usize = 1024;
+
+/// The parts that measure targets and grant shares of limits.
+pub(crate) struct Measuring {
+    pub(crate) leases: Leases,
+    pub(crate) shares: Shares,
+    pub(crate) prober: Prober,
+}
+
+impl Measuring {
+    pub(crate) fn spawn(
+        settings: &Settings,
+        incarnation: Incarnation,
+        client: Client,
+        links: &Links,
+        subjects: &Subjects,
+        metrics: Metrics,
+    ) -> Self {
+        let lease_settings = LeaseSettings {
+            cell: settings.cell.clone(),
+            owner: Owner {
+                instance: settings.instance.clone(),
+                incarnation,
+            },
+            timing: Timing::default(),
+        };
+        let leases = Leases::spawn(
+            lease_settings,
+            client,
+            follow_members(links),
+            metrics.clone(),
+        );
+        let shares = Shares::spawn(
+            leases.clone(),
+            links.clone(),
+            subjects.clone(),
+            settings.max_entries,
+            metrics.clone(),
+        );
+        let (sink, samples) = mpsc::channel(SAMPLES);
+        let prober = Prober::spawn(leases.clone(), subjects.clone(), sink, metrics);
+        targets::spread_samples(links.clone(), samples);
+        Self {
+            leases,
+            shares,
+            prober,
+        }
+    }
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -16,12 +16,15 @@
         let links = self.0.clone();
         let peer = peer.clone();
         Box::pin(async move {
-            links.query(&peer, query, timeout).await.map_err(|error| match error {
-                QueryError::NotConnected(_)
-                | QueryError::QueueFull(_)
-                | QueryError::Encode(_) => PeerError::NotConnected,
-                QueryError::TimedOut(_) | QueryError::Closed(_) => PeerError::NoAnswer,
-            })
+            links
+                .query(&peer, query, timeout)
+                .await
+                .map_err(|error| match error {
+                    QueryError::NotConnected(_)
+                    | QueryError::QueueFull(_)
+                    | QueryError::Encode(_) => PeerError::NotConnected,
+                    QueryError::TimedOut(_) | QueryError::Closed(_) => PeerError::NoAnswer,
+                })
         })
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
-use carobdrift_units::{ByteSize, Cell, Instance, Millis, PerSecond, Percent, Region, Team, Zone};
+use carobdrift_document::Ceilings;
+use carobdrift_units::{ByteSize, Cell, Instance, Millis, PerSecond, Region, Team, Zone};
 use serde::Serialize;
 
 pub use arguments::Arguments;
@@ -82,7 +83,7 @@
     /// Memory that records may take.
     pub memory_bytes: ByteSize,
     /// Table writes per second for keys of the callers' making.
-    pub writes_per_second: PerSecond,
+    pub writes_per_second: u32,
 }
 
 /// Limit of one team, in sum over all entries.
@@ -94,25 +95,6 @@
     pub per_second: u32,
 }
 
-/// Ceilings that no document may exceed.
-#[derive(Debug, Clone, Serialize)]
-pub struct Ceilings {
-    /// Longest deadline of a route.
-    pub deadline_ms: Millis,
-    /// Most requests in progress of a service.
-    pub in_flight: u32,
-    /// Most calls per second of a service.
-    pub per_second: u32,
-    /// Most probes per second and target.
-    pub probes_per_second: u32,
-    /// Largest retry budget.
-    pub retry_percent: Percent,
-    /// Largest hedge budget.
-    pub hedge_percent: Percent,
-    /// Largest request or response body.
-    pub body_bytes: ByteSize,
-}
-
 /// Logging.
 #[derive(Debug, Clone, Serialize)]
 pub struct Log {
--- a/crates/entry/src/settings/arguments.rs
+++ b/crates/entry/src/settings/arguments.rs
@@ -153,6 +153,15 @@
         default_value = "60000"
     )]
     pub(super) ceiling_deadline_ms: String,
+    /// Longest time to live of address answers that a document may state, in
+    /// milliseconds
+    #[arg(
+        long,
+        env = "CAROBDRIFT_CEILING_TTL_MS",
+        value_name = "MS",
+        default_value = "30000"
+    )]
+    pub(super) ceiling_ttl_ms: String,
     /// Most requests in progress that a document may permit
     #[arg(
         long,
@@ -169,20 +178,37 @@
         default_value = "1000000"
     )]
     pub(super) ceiling_per_second: String,
+    /// Most waiting requests of one class at one entry that a document may
+    /// permit
+    #[arg(
+        long,
+        env = "CAROBDRIFT_CEILING_QUEUE",
+        value_name = "N",
+        default_value = "10000"
+    )]
+    pub(super) ceiling_queue: String,
     /// Most probes per second and target that a document may permit
     #[arg(
         long,
         env = "CAROBDRIFT_CEILING_PROBES_PER_SECOND",
         value_name = "N",
-        default_value = "20"
+        default_value = "10"
     )]
     pub(super) ceiling_probes_per_second: String,
+    /// Most attempts per request that a document may permit
+    #[arg(
+        long,
+        env = "CAROBDRIFT_CEILING_ATTEMPTS",
+        value_name = "N",
+        default_value = "5"
+    )]
+    pub(super) ceiling_attempts: String,
     /// Largest retry budget of a document, in percent of requests
     #[arg(
         long,
         env = "CAROBDRIFT_CEILING_RETRY_PERCENT",
         value_name = "PERCENT",
-        default_value = "50"
+        default_value = "25"
     )]
     pub(super) ceiling_retry_percent: String,
     /// Largest hedge budget of a document, in percent of requests
@@ -190,17 +216,33 @@
         long,
         env = "CAROBDRIFT_CEILING_HEDGE_PERCENT",
         value_name = "PERCENT",
-        default_value = "20"
+        default_value = "10"
     )]
     pub(super) ceiling_hedge_percent: String,
-    /// Largest body that a document may permit, in bytes
+    /// Most connections from one entry to one target that a document may permit
+    #[arg(
+        long,
+        env = "CAROBDRIFT_CEILING_CONNECTIONS",
+        value_name = "N",
+        default_value = "1024"
+    )]
+    pub(super) ceiling_connections: String,
+    /// Largest request body that a document may permit, in bytes
+    #[arg(
+        long,
+        env = "CAROBDRIFT_CEILING_REQUEST_BYTES",
+        value_name = "BYTES",
+        default_value = "67108864"
+    )]
+    pub(super) ceiling_request_bytes: String,
+    /// Largest response body that a document may permit, in bytes
     #[arg(
         long,
-        env = "CAROBDRIFT_CEILING_BODY_BYTES",
+        env = "CAROBDRIFT_CEILING_RESPONSE_BYTES",
         value_name = "BYTES",
         default_value = "268435456"
     )]
-    pub(super) ceiling_body_bytes: String,
+    pub(super) ceiling_response_bytes: String,
     /// Time within which requests in progress must end once the entry leaves,
     /// in milliseconds
     #[arg(
--- a/crates/entry/src/settings/check.rs
+++ b/crates/entry/src/settings/check.rs
@@ -4,12 +4,11 @@
 use std::fmt;
 use std::str::FromStr;
 
+use carobdrift_document::Ceilings;
 use carobdrift_units::{Millis, Team};
 use thiserror::Error;
 
-use super::{
-    Arguments, Ceilings, Format, Keys, Listen, Log, Platform, Secret, Settings, TeamLimit,
-};
+use super::{Arguments, Format, Keys, Listen, Log, Platform, Secret, Settings, TeamLimit};
 
 /// Shortest peer secret or token, in bytes; shorter ones can be guessed.
 const SECRET_MIN: usize = 16;
@@ -173,21 +172,31 @@
 }
 
 fn ceilings(a: &Arguments, faults: &mut Faults) -> Option<Ceilings> {
-    let deadline = faults.positive_millis("ceiling-deadline-ms", &a.ceiling_deadline_ms);
-    let in_flight = faults.positive("ceiling-in-flight", &a.ceiling_in_flight);
-    let per_second = faults.positive("ceiling-per-second", &a.ceiling_per_second);
+    let deadline_ms = faults.positive_millis("ceiling-deadline-ms", &a.ceiling_deadline_ms);
+    let ttl_ms = faults.positive_millis("ceiling-ttl-ms", &a.ceiling_ttl_ms);
+    let max_in_flight = faults.positive("ceiling-in-flight", &a.ceiling_in_flight);
+    let max_per_second = faults.positive("ceiling-per-second", &a.ceiling_per_second);
+    let max_queue = faults.parse("ceiling-queue", &a.ceiling_queue);
     let probes = faults.parse("ceiling-probes-per-second", &a.ceiling_probes_per_second);
-    let retry = faults.parse("ceiling-retry-percent", &a.ceiling_retry_percent);
-    let hedge = faults.parse("ceiling-hedge-percent", &a.ceiling_hedge_percent);
-    let body = faults.parse("ceiling-body-bytes", &a.ceiling_body_bytes);
+    let max_attempts = faults.positive("ceiling-attempts", &a.ceiling_attempts);
+    let retry_percent = faults.parse("ceiling-retry-percent", &a.ceiling_retry_percent);
+    let hedge_percent = faults.parse("ceiling-hedge-percent", &a.ceiling_hedge_percent);
+    let connections = faults.positive("ceiling-connections", &a.ceiling_connections);
+    let request_bytes = faults.parse("ceiling-request-bytes", &a.ceiling_request_bytes);
+    let response_bytes = faults.parse("ceiling-response-bytes", &a.ceiling_response_bytes);
     Some(Ceilings {
-        deadline_ms: deadline?,
-        in_flight: in_flight?,
-        per_second: per_second?,
-        probes_per_second: probes?,
-        retry_percent: retry?,
-        hedge_percent: hedge?,
-        body_bytes: body?,
+        max_in_flight: max_in_flight?,
+        max_per_second: max_per_second?,
+        max_queue: max_queue?,
+        probes_per_second_per_target: probes?,
+        max_attempts: max_attempts?,
+        retry_percent: retry_percent?,
+        hedge_percent: hedge_percent?,
+        deadline_ms: deadline_ms?,
+        ttl_ms: ttl_ms?,
+        max_per_target: connections?,
+        max_request_bytes: request_bytes?,
+        max_response_bytes: response_bytes?,
     })
 }
 
--- a/crates/entry/src/statement.rs
+++ b/crates/entry/src/statement.rs
@@ -66,7 +66,9 @@
     /// In a store outage no share can be granted, so each entry takes its part
     /// of the whole limit.
     fn split_limits(&self, standing: Standing) {
-        let entries = u32::try_from(self.links.cell_size()).unwrap_or(u32::MAX).max(1);
+        let entries = u32::try_from(self.links.cell_size())
+            .unwrap_or(u32::MAX)
+            .max(1);
         let split = (standing == Standing::Outage).then_some(entries);
         for subject in self.subjects.borrow().iter() {
             subject.pool.allowance().split(split);
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -26,10 +26,7 @@
 }
 
 /// Sends leaving marks to peers.
-pub(crate) fn spread_departures(
-    links: Links,
-    mut departures: mpsc::UnboundedReceiver<Departure>,
-) {
+pub(crate) fn spread_departures(links: Links, mut departures: mpsc::UnboundedReceiver<Departure>) {
     tokio::spawn(async move {
         while let Some(departure) = departures.recv().await {
             let links = links.clone();
@@ -66,7 +63,9 @@
 fn apply(targets: &[Target], subjects: &mut Subjects) {
     let subjects = subjects.borrow_and_update().clone();
     for target in targets {
-        let subject = subjects.iter().find(|subject| subject.document.service == target.service);
+        let subject = subjects
+            .iter()
+            .find(|subject| subject.document.service == target.service);
         let Some(subject) = subject else {
             continue;
         };
@@ -74,7 +73,9 @@
             subject.pool.learn_start(&target.id, start);
         }
         if target.state == State::Leaving {
-            subject.pool.mark_leaving(&target.id, Evidence::List, target.start.as_deref());
+            subject
+                .pool
+                .mark_leaving(&target.id, Evidence::List, target.start.as_deref());
         }
     }
 }
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -105,10 +105,16 @@
     /// Requests of each service that have ended since the start.
     #[must_use]
     pub fn calls(&self) -> Vec<(Service, u64)> {
-        let served = self.core.served.read().unwrap_or_else(PoisonError::into_inner);
+        let served = self
+            .core
+            .served
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
         let calls = served.iter().map(|(service, served)| {
             let counts = served.latencies.values();
-            let ended = counts.map(|latencies| latencies.requests.get_sample_count()).sum();
+            let ended = counts
+                .map(|latencies| latencies.requests.get_sample_count())
+                .sum();
             (service.clone(), ended)
         });
         calls.collect()
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -3,6 +3,7 @@
 mod addresses;
 mod check;
 mod document;
+mod serve;
 
 use std::future::Future;
 use std::process::ExitCode;
@@ -10,9 +11,9 @@
 use clap::Subcommand;
 use eyre::WrapErr;
 
-// `serve`, which runs an entry, has its place here as well.
-#[derive(Debug, Subcommand)]
+#[derive(Subcommand)]
 pub(crate) enum Command {
+    Serve(Box<serve::Serve>),
     Check(check::Check),
     Document(document::Document),
     Addresses(addresses::Addresses),
@@ -21,6 +22,7 @@
 impl Command {
     pub(crate) fn execute(self) -> eyre::Result<ExitCode> {
         match self {
+            Self::Serve(serve) => serve.execute(),
             Self::Check(check) => Ok(check.execute()),
             Self::Document(document) => block_on(document.execute()),
             Self::Addresses(addresses) => block_on(addresses.execute()),
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,104 @@
+//! `carobdrift serve`.
+
+use std::process::ExitCode;
+
+use carobdrift_entry::{Addresses, Arguments, Entry, Settings, set_up_logging};
+use carobdrift_units::Instance;
+use clap::Args;
+use eyre::WrapErr;
+use serde::Serialize;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Exit status for settings that are invalid.
+const INVALID_SETTINGS: u8 = 2;
+
+/// Exit status after a second signal, which stops at once.
+const STOPPED_AT_ONCE: u8 = 130;
+
+/// Run an entry
+///
+/// Serves callers until SIGTERM or SIGINT. It then leaves the address answer,
+/// waits until no caller can hold its address any more, ends the requests in
+/// progress and exits with status 0. A second signal stops at once.
+///
+/// Once it listens, it prints one JSON line with its addresses.
+#[derive(Args)]
+pub(crate) struct Serve {
+    #[command(flatten)]
+    arguments: Arguments,
+    /// Print the settings in effect as JSON, without secrets, and exit
+    #[arg(long)]
+    print_settings: bool,
+}
+
+/// The line that is printed once the entry listens.
+#[derive(Serialize)]
+struct Started {
+    instance: Instance,
+    #[serde(flatten)]
+    addresses: Addresses,
+}
+
+impl Serve {
+    pub(crate) fn execute(self) -> eyre::Result<ExitCode> {
+        let settings = match Settings::check(&self.arguments) {
+            Ok(settings) => settings,
+            Err(invalid) => {
+                for fault in &invalid.faults {
+                    eprintln!("error: {fault}");
+                }
+                return Ok(ExitCode::from(INVALID_SETTINGS));
+            }
+        };
+        if self.print_settings {
+            println!("{}", serde_json::to_string_pretty(&settings)?);
+            return Ok(ExitCode::SUCCESS);
+        }
+        set_up_logging(&settings.log)?;
+        tokio::runtime::Builder::new_multi_thread()
+            .enable_all()
+            .build()
+            .wrap_err("could not start the runtime")?
+            .block_on(serve(settings))
+    }
+}
+
+async fn serve(settings: Settings) -> eyre::Result<ExitCode> {
+    let mut signals = Signals::listen()?;
+    let instance = settings.instance.clone();
+    let entry = Entry::spawn(settings)
+        .await
+        .wrap_err("the entry could not start")?;
+    let started = Started {
+        instance,
+        addresses: entry.addresses(),
+    };
+    println!("{}", serde_json::to_string(&started)?);
+    signals.next().await;
+    tokio::select! {
+        _ = entry.leave() => Ok(ExitCode::SUCCESS),
+        () = signals.next() => Ok(ExitCode::from(STOPPED_AT_ONCE)),
+    }
+}
+
+/// Signals that ask the entry to stop.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn listen() -> eyre::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).wrap_err("can't listen for SIGTERM")?,
+            interrupt: signal(SignalKind::interrupt()).wrap_err("can't listen for SIGINT")?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,7 +14,7 @@
 const WRONG_USAGE: u8 = 2;
 
 /// A load balancer for services whose load shifts within milliseconds.
-#[derive(Debug, Parser)]
+#[derive(Parser)]
 #[command(version)]
 struct Arguments {
     #[command(subcommand)]
