Test that a put without an answer is sent to one entry only

A put that moves on to the next entry after a timeout hides the unknown outcome from the operator. With that repeat switched on, no test failed; the test now has a second entry, and fails with it.

--- a/tests/all/document.rs
+++ b/tests/all/document.rs
@@ -54,6 +54,15 @@
     }
 
     fn put(&self) -> (Option<i32>, String, String) {
+        self.put_with_others(&[])
+    }
+
+    /// Puts a document; the command may also use the other entries.
+    fn put_with_others(&self, others: &[&Self]) -> (Option<i32>, String, String) {
+        let addresses: Vec<String> = std::iter::once(&self)
+            .chain(others)
+            .map(|entry| entry.address.to_string())
+            .collect();
         let arguments = [
             "document",
             "put",
@@ -62,7 +71,7 @@
             "--edit-id=e-1",
         ];
         let output = carobdrift(&arguments)
-            .env("CAROBDRIFT_API", self.address.to_string())
+            .env("CAROBDRIFT_API", addresses.join(","))
             .env("CAROBDRIFT_API_TOKEN", "secret-token")
             .output()
             .unwrap();
@@ -138,14 +147,16 @@
     ];
     for answer in cases {
         let entry = Entry::start(answer);
+        let other = Entry::start(Some((200, "{}")));
 
-        let (status, out, _) = entry.put();
+        let (status, out, _) = entry.put_with_others(&[&other]);
 
         assert_eq!(status, Some(3), "{answer:?}: {out}");
         let again = "carobdrift document outcome e-1";
         assert!(out.contains(again), "{answer:?}: {out}");
         assert!(out.contains("--expected-version 6 --edit-id e-1"), "{out}");
         assert_eq!(entry.received.lock().unwrap().len(), 1, "{answer:?}");
+        assert!(other.received.lock().unwrap().is_empty(), "{answer:?}");
     }
 }
 
