Keep the timer's tick out of measured latencies

The stand-in of a target slept twice per request, also for no time, which the timer rounds up to a millisecond: a direct call to an idle target took 2.3 ms. The histogram of the replay had no room above 2 us and showed 0 for everything.

--- a/crates/replay/src/compare/report.rs
+++ b/crates/replay/src/compare/report.rs
@@ -194,7 +194,7 @@
 }
 
 fn histogram(records: &[&Record]) -> Option<Histogram<u64>> {
-    let mut histogram = Histogram::new(3).ok()?;
+    let mut histogram = Histogram::new_with_bounds(1, 60_000_000, 3).ok()?;
     for record in records {
         let latency = if record.end == End::Whole {
             record.latency
--- a/crates/test-support/src/target/serve.rs
+++ b/crates/test-support/src/target/serve.rs
@@ -158,10 +158,10 @@
         let running = self
             .record
             .begin(format!("{} {}", head.method, head.uri), &head.headers);
-        tokio::time::sleep(self.service_time(&faults)).await;
+        pause(self.service_time(&faults)).await;
         running.complete();
         drop(permit);
-        tokio::time::sleep(Duration::from_millis(faults.late_ms)).await;
+        pause(Duration::from_millis(faults.late_ms)).await;
         if faults.reset == Some(Reset::AfterRunning) {
             switches.reset.store(true, Ordering::Relaxed);
             return Err(Abort);
@@ -252,6 +252,14 @@
     }
 }
 
+/// Sleeps, but not at all for no time: the timer rounds up to its tick, which
+/// would add a millisecond to every response.
+async fn pause(length: Duration) {
+    if !length.is_zero() {
+        tokio::time::sleep(length).await;
+    }
+}
+
 /// The request's token, a line feed and the request's body, repeated up to the
 /// requested size.
 fn payload(headers: &HeaderMap, body: &Bytes) -> Bytes {
