Test the catalog with several entries in one process

Each entry runs on a runtime of its own, so that it can be paused, behind relays to its peers and to the platform stand-in, so that it can be cut off.

--- /dev/null
+++ b/crates/catalog/tests/all/fixture.rs
@@ -0,0 +1,250 @@
+//! Entries that hold documents, each on a runtime of its own so that it can be
+//! paused, and behind relays so that it can be cut off.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use carobdrift_catalog::{Accepted, Catalog, Edit, EditError, Metrics, Standing};
+use carobdrift_document::Document;
+use carobdrift_membership::{Inbox, Links, Metrics as LinkMetrics, Secret, Settings};
+use carobdrift_platform::Client;
+use carobdrift_test_support::platform::{self, Down, Fault, Listing, StandIn};
+use carobdrift_test_support::relay::{Flows, Relay};
+use carobdrift_units::{Incarnation, Instance, Service, Version};
+use carobdrift_wire::Frame;
+use prometheus::Registry;
+use serde_json::{Value, json};
+use tokio::runtime::Runtime;
+
+/// Bound on the time after which an accepted document is in force everywhere,
+/// and on the time for which an outdated one is served.
+pub(crate) const BOUND: Duration = Duration::from_secs(5);
+
+/// The documents of one entry.
+pub(crate) struct Node {
+    pub(crate) name: String,
+    pub(crate) catalog: Catalog,
+    pub(crate) links: Links,
+    /// Between the entry and the platform.
+    pub(crate) store: Relay,
+    /// In front of the peer listener.
+    pub(crate) peers: Arc<Relay>,
+    registry: Registry,
+    runtime: Option<Runtime>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+pub(crate) fn id(name: &str) -> Instance {
+    name.parse().unwrap()
+}
+
+pub(crate) fn sheets() -> Service {
+    "sheets".parse().unwrap()
+}
+
+pub(crate) async fn stand_in() -> StandIn {
+    StandIn::bind(platform::Settings::default()).await.unwrap()
+}
+
+pub(crate) async fn set_down(stand_in: &StandIn, down: Down) {
+    let fault = Fault {
+        down,
+        ..Fault::default()
+    };
+    stand_in.set_fault(fault).await;
+}
+
+/// Starts an entry that the instance list shows.
+pub(crate) async fn start(stand_in: &StandIn, name: &str) -> Node {
+    let peers = Arc::new(Relay::bind().await.unwrap());
+    let unused = "127.0.0.1:9".parse().unwrap();
+    stand_in.put_instance(Listing::entry(
+        &id(name),
+        "main".parse().unwrap(),
+        "hobart".parse().unwrap(),
+        "tasmania".parse().unwrap(),
+        [unused, unused, peers.address()],
+    ));
+    start_behind(stand_in, name, peers).await
+}
+
+/// Starts an entry whose peers reach it through this relay.
+pub(crate) async fn start_behind(stand_in: &StandIn, name: &str, peers: Arc<Relay>) -> Node {
+    let store = Relay::bind().await.unwrap();
+    store.set_target(stand_in.address());
+    let unused = "127.0.0.1:9".parse().unwrap();
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let listen = free.local_addr().unwrap();
+    drop(free);
+    let settings = Settings {
+        instance: id(name),
+        incarnation: Incarnation::draw(),
+        cell: "main".parse().unwrap(),
+        zone: "hobart".parse().unwrap(),
+        caller: unused,
+        admin: unused,
+        listen,
+        advertise: Some(peers.address()),
+        secret: Secret::new("peers only".to_owned()),
+    };
+    let client = Client::open(carobdrift_platform::Settings {
+        address: store.address(),
+        timeout: Duration::from_secs(1),
+    });
+    let registry = Registry::new();
+    let link_metrics = LinkMetrics::register(&registry).unwrap();
+    let metrics = Metrics::register(&registry).unwrap();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap();
+    let running = runtime.spawn(async move {
+        let (links, inbox) = Links::bind(settings, client.clone(), link_metrics)
+            .await
+            .unwrap();
+        let catalog = Catalog::spawn(client, links.clone(), metrics);
+        tokio::spawn(dispatch(catalog.clone(), inbox));
+        (links, catalog)
+    });
+    let (links, catalog) = running.await.unwrap();
+    peers.set_target(listen);
+    Node {
+        name: name.to_owned(),
+        catalog,
+        links,
+        store,
+        peers,
+        registry,
+        runtime: Some(runtime),
+    }
+}
+
+/// What an entry does with the frames of its peers.
+async fn dispatch(catalog: Catalog, mut inbox: Inbox) {
+    while let Some(inbound) = inbox.recv().await {
+        if let Frame::Query { query, .. } = &inbound.frame {
+            if let Some(answer) = catalog.answer(&inbound.from, query)
+                && let Some(reply) = inbound.reply
+            {
+                reply.send(answer);
+            }
+        } else {
+            catalog.learn(&inbound.from, &inbound.frame);
+        }
+    }
+}
+
+/// Entries that are all confirmed and hear each other.
+pub(crate) async fn cell(stand_in: &StandIn, count: usize) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for number in 0..count {
+        nodes.push(start(stand_in, &format!("entry-{number}")).await);
+    }
+    until("the cell is up", Duration::from_secs(8), || {
+        nodes.iter().all(|node| {
+            node.is_confirmed()
+                && node
+                    .links
+                    .peers()
+                    .iter()
+                    .filter(|p| p.heard.is_some())
+                    .count()
+                    == count - 1
+        })
+    })
+    .await;
+    nodes
+}
+
+impl Node {
+    pub(crate) fn is_confirmed(&self) -> bool {
+        matches!(self.catalog.standing(), Standing::Confirmed { .. })
+    }
+
+    pub(crate) fn version(&self, service: &Service) -> Version {
+        let held = self.catalog.held(service);
+        held.map_or(Version::NONE, |held| held.version)
+    }
+
+    /// Blocks all tasks of the entry for a time, as when its process is paused.
+    pub(crate) fn pause(&self, time: Duration) {
+        if let Some(runtime) = &self.runtime {
+            runtime.spawn(async move { std::thread::sleep(time) });
+        }
+    }
+
+    /// Polls of the change log so far.
+    pub(crate) fn polls(&self) -> f64 {
+        self.registry
+            .gather()
+            .iter()
+            .filter(|family| family.name() == "carobdrift_catalog_polls_total")
+            .flat_map(|family| family.get_metric().to_vec())
+            .map(|sample| sample.get_counter().get_value())
+            .sum()
+    }
+
+    pub(crate) fn cut_store(&self) {
+        self.store.set(Flows::CUT);
+    }
+
+    /// Stops the entry; its relay and with it its address stay.
+    pub(crate) fn stop(self) -> Arc<Relay> {
+        Arc::clone(&self.peers)
+    }
+}
+
+/// Cuts an entry from all its peers, in both directions.
+pub(crate) fn cut_peers(nodes: &[Node], cut: usize) {
+    nodes[cut].peers.set(Flows::CUT);
+    for (number, node) in nodes.iter().enumerate() {
+        if number != cut {
+            node.peers.set_for(&nodes[cut].name, Flows::CUT);
+        }
+    }
+}
+
+pub(crate) fn document(service: &Service, path: &str) -> Value {
+    json!({
+        "service": service,
+        "team": "lanemark-meets",
+        "targets": [{"id": "t-1", "address": "127.0.0.1:9", "zone": "hobart", "slots": 2}],
+        "routes": [{"name": "view", "methods": ["GET"], "path": path,
+                    "kind": "idempotent", "class": "view", "deadline_ms": 400}],
+        "classes": [{"name": "view", "weight": 4, "max_queue": 200}]
+    })
+}
+
+pub(crate) fn edit(id: &str, service: &Service, expected: u64) -> Edit {
+    let json = document(service, &format!("/{id}/*"));
+    Edit {
+        id: id.parse().unwrap(),
+        document: Document::parse(json.to_string().as_bytes()).unwrap(),
+        expected: Version(expected),
+        owner: None,
+    }
+}
+
+/// Accepts a document through an entry.
+pub(crate) async fn accept(node: &Node, edit: Edit) -> Accepted {
+    let result: Result<Accepted, EditError> = node.catalog.edit(edit).await;
+    result.unwrap()
+}
+
+/// Waits until a condition holds; returns how long that took.
+pub(crate) async fn until(what: &str, limit: Duration, condition: impl Fn() -> bool) -> Duration {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < limit, "not within {limit:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    start.elapsed()
+}
--- /dev/null
+++ b/crates/catalog/tests/all/propagation.rs
@@ -0,0 +1,130 @@
+//! Guards against an accepted document that stays out of force somewhere, and
+//! against an older version that comes back.
+
+use std::time::Duration;
+
+use carobdrift_test_support::relay::Flows;
+use carobdrift_units::{Revision, Version};
+use carobdrift_wire::{Answer, Copy, Frame, Query};
+
+use crate::fixture::{
+    BOUND, Node, accept, cell, cut_peers, document, edit, id, sheets, stand_in, until,
+};
+
+/// What keeps the last of the entries from the accepting one.
+#[derive(Debug, Clone, Copy)]
+enum Obstacle {
+    None,
+    /// The accepting entry can't reach it, the others can.
+    LinkFromAccepting,
+    /// No entry can reach it and it reaches none: only the store is left.
+    AllLinks,
+    /// It can't reach the store.
+    Store,
+    /// It can't reach the store, and the accepting entry can't reach it.
+    StoreAndLinkFromAccepting,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn documents_are_in_force_everywhere_within_the_bound() {
+    let obstacles = [
+        Obstacle::None,
+        Obstacle::LinkFromAccepting,
+        Obstacle::AllLinks,
+        Obstacle::Store,
+        Obstacle::StoreAndLinkFromAccepting,
+    ];
+    for obstacle in obstacles {
+        let stand_in = stand_in().await;
+        let nodes = cell(&stand_in, 5).await;
+        let last = nodes.len() - 1;
+        match obstacle {
+            Obstacle::None => {}
+            Obstacle::LinkFromAccepting => cut_link(&nodes, 0, last),
+            Obstacle::AllLinks => cut_peers(&nodes, last),
+            Obstacle::Store => nodes[last].cut_store(),
+            Obstacle::StoreAndLinkFromAccepting => {
+                nodes[last].cut_store();
+                cut_link(&nodes, 0, last);
+            }
+        }
+        for number in 0..3 {
+            accept(
+                &nodes[0],
+                edit(&format!("edit-{number}"), &sheets(), number),
+            )
+            .await;
+
+            let time = until("in force everywhere", BOUND, || {
+                nodes
+                    .iter()
+                    .all(|node| node.version(&sheets()) == Version(number + 1))
+            })
+            .await;
+
+            println!("{obstacle:?}: in force on all {time:?} after the answer");
+        }
+        until("all know the same revision", BOUND, || {
+            nodes
+                .iter()
+                .all(|node| node.catalog.versions().0 == Revision(3))
+        })
+        .await;
+    }
+}
+
+fn cut_link(nodes: &[Node], from: usize, to: usize) {
+    nodes[to].peers.set_for(&nodes[from].name, Flows::CUT);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn older_versions_are_ignored() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    accept(&nodes[0], edit("second", &sheets(), 1)).await;
+    until("second is in force", BOUND, || {
+        nodes
+            .iter()
+            .all(|node| node.version(&sheets()) == Version(2))
+    })
+    .await;
+    let catalog = &nodes[1].catalog;
+    let old = Copy {
+        service: sheets(),
+        version: Version(1),
+        body: document(&sheets(), "/old").to_string(),
+    };
+
+    let answer = catalog.answer(
+        &id("entry-0"),
+        &Query::Adopt {
+            copy: old,
+            revision: Revision(1),
+        },
+    );
+    catalog.learn(
+        &id("entry-0"),
+        &Frame::Announce {
+            service: sheets(),
+            version: Version(1),
+            revision: Revision(1),
+        },
+    );
+    // A row that is older than what is in force, as from a restored backup.
+    let row = stand_in.row("changes/main").unwrap();
+    stand_in.put_row(
+        "changes/main",
+        serde_json::json!({"revision": 1, "changes": [[1, "sheets", 1]], "transaction": "t"}),
+    );
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+
+    assert_eq!(answer, Some(Answer::Done));
+    for node in &nodes {
+        assert_eq!(node.version(&sheets()), Version(2));
+        assert_eq!(node.catalog.versions().0, Revision(2));
+        let held = node.catalog.held(&sheets()).unwrap();
+        assert_eq!(held.document.routes[0].path, "/second/*");
+    }
+    assert!(row.version >= 2);
+}
--- /dev/null
+++ b/crates/catalog/tests/all/recovery.rs
@@ -0,0 +1,174 @@
+//! Guards against entries that start or return with fewer documents than were
+//! accepted, or that take themselves for up to date without knowing.
+
+use std::time::Duration;
+
+use carobdrift_catalog::Standing;
+use carobdrift_test_support::platform::{Down, StandIn};
+use carobdrift_units::{Revision, Service, Version};
+use carobdrift_wire::{Answer, Query};
+use serde_json::json;
+
+use crate::fixture::{
+    BOUND, Node, accept, cell, document, edit, id, set_down, sheets, stand_in, start, start_behind,
+    until,
+};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_starts_during_an_outage_takes_documents_from_peers() {
+    let stand_in = stand_in().await;
+    let mut nodes = cell(&stand_in, 3).await;
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    accept(&nodes[0], edit("other", &"draws".parse().unwrap(), 0)).await;
+    until("both are in force", BOUND, || {
+        nodes.iter().all(|node| node.catalog.documents().len() == 2)
+    })
+    .await;
+    let stopped = nodes.pop().unwrap();
+    let name = stopped.name.clone();
+    let relay = stopped.stop();
+    set_down(&stand_in, Down::Refuse).await;
+
+    let started = start_behind(&stand_in, &name, relay).await;
+    assert_eq!(started.catalog.standing(), Standing::Unconfirmed);
+    let time = until("it serves", Duration::from_secs(5), || {
+        started.catalog.standing().serves()
+    })
+    .await;
+
+    println!("serves {time:?} after its start");
+    assert_eq!(started.catalog.documents().len(), 2);
+    assert_eq!(started.catalog.versions().0, Revision(2));
+    until("the outage is noted", Duration::from_secs(6), || {
+        started.catalog.standing() == Standing::Outage
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_entries_don_t_vouch_for_each_other() {
+    let stand_in = stand_in().await;
+    let mut nodes = cell(&stand_in, 3).await;
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    set_down(&stand_in, Down::Refuse).await;
+    // All that know of the document go; what is left is a majority without
+    // memory.
+    let mut started = Vec::new();
+    for node in nodes.drain(..) {
+        let name = node.name.clone();
+        started.push((name, node.stop()));
+    }
+    let mut fresh = Vec::new();
+    for (name, relay) in started {
+        fresh.push(start_behind(&stand_in, &name, relay).await);
+    }
+
+    tokio::time::sleep(Duration::from_secs(6)).await;
+
+    for node in &fresh {
+        assert_eq!(node.catalog.standing(), Standing::Unconfirmed);
+    }
+    set_down(&stand_in, Down::No).await;
+    until("all have the document", BOUND, || {
+        fresh
+            .iter()
+            .all(|node| node.is_confirmed() && node.version(&sheets()) == Version(1))
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gap_in_the_change_log_is_closed_by_a_scan() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    let services: Vec<Service> = (0..450)
+        .map(|number| format!("service-{number:03}").parse().unwrap())
+        .collect();
+    for service in &services {
+        put_document(&stand_in, service, &document(service, "/a").to_string());
+    }
+
+    // The log names only the last of the changes.
+    put_log(&stand_in, 451, &[(451, "service-449", 1)]);
+
+    until("all documents are in force", BOUND, || {
+        nodes.iter().all(|node| {
+            node.catalog.documents().len() == 451 && node.catalog.versions().0 == Revision(451)
+        })
+    })
+    .await;
+    let late = start(&stand_in, "late").await;
+    until("a new entry has them too", BOUND, || {
+        late.is_confirmed() && late.catalog.documents().len() == 451
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_document_of_a_newer_format_is_kept_and_not_served() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    let draws: Service = "draws".parse().unwrap();
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    accept(&nodes[0], edit("other", &draws, 0)).await;
+    let mut newer = document(&sheets(), "/a");
+    newer["invented_later"] = json!({"a": 1.50});
+    put_document(&stand_in, &sheets(), &newer.to_string());
+
+    put_log(
+        &stand_in,
+        3,
+        &[(1, "sheets", 1), (2, "draws", 1), (3, "sheets", 2)],
+    );
+    until("it is noted", BOUND, || {
+        nodes
+            .iter()
+            .all(|node| node.catalog.is_unreadable(&sheets()))
+    })
+    .await;
+
+    for node in &nodes {
+        assert!(node.catalog.held(&sheets()).is_none(), "{}", node.name);
+        assert_eq!(node.version(&draws), Version(1));
+        assert!(node.catalog.standing().serves());
+        let answer = node
+            .catalog
+            .answer(&id("x"), &Query::Document { service: sheets() });
+        let Some(Answer::Document(Some(copy))) = answer else {
+            panic!("{answer:?}")
+        };
+        assert_eq!((copy.version, copy.body), (Version(2), newer.to_string()));
+    }
+    // An operator replaces it knowingly, and its body stays in the history.
+    accept(&nodes[1], edit("third", &sheets(), 2)).await;
+    until("the replacement is in force", BOUND, || {
+        nodes
+            .iter()
+            .all(|node| node.version(&sheets()) == Version(3))
+    })
+    .await;
+    until_body(&nodes[2], Version(2), &newer.to_string()).await;
+}
+
+async fn until_body(node: &Node, version: Version, expected: &str) {
+    for _ in 0..100 {
+        if let Ok(Some(body)) = node.catalog.body(&sheets(), version).await {
+            assert_eq!(body, expected);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("version {version} is not in the history");
+}
+
+fn put_document(stand_in: &StandIn, service: &Service, body: &str) {
+    let value = json!({"body": body, "edit": "by-hand", "team": "lanemark-meets",
+                       "cell": "main", "transaction": "t"});
+    stand_in.put_row(&format!("documents/{service}"), value);
+}
+
+fn put_log(stand_in: &StandIn, revision: u64, changes: &[(u64, &str, u64)]) {
+    let value = json!({"revision": revision, "changes": changes, "transaction": "t"});
+    stand_in.put_row("changes/main", value);
+}
--- /dev/null
+++ b/crates/catalog/tests/all/standing.rs
@@ -0,0 +1,241 @@
+//! Guards against entries that serve with documents that may be outdated, and
+//! against entries that refuse without need.
+
+use std::time::{Duration, Instant};
+
+use carobdrift_catalog::Standing;
+use carobdrift_test_support::platform::Down;
+use carobdrift_test_support::relay::{Flow, Flows};
+use carobdrift_units::Version;
+use tokio::time::sleep;
+
+use crate::fixture::{
+    BOUND, Node, accept, cell, cut_peers, edit, set_down, sheets, stand_in, until,
+};
+
+/// Time that the scheduler may add to a bound.
+const SLACK: Duration = Duration::from_millis(150);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_off_entry_serves_only_while_it_can_know() {
+    let cases = [
+        ("from the store", true, false, "confirmed"),
+        ("from its peers", false, true, "confirmed"),
+        ("from both", true, true, "unconfirmed"),
+    ];
+    for (name, store, peers, expected) in cases {
+        let stand_in = stand_in().await;
+        let nodes = cell(&stand_in, 3).await;
+        accept(&nodes[0], edit("first", &sheets(), 0)).await;
+        let last = nodes.len() - 1;
+        until("first is in force", BOUND, || {
+            nodes[last].version(&sheets()) == Version(1)
+        })
+        .await;
+
+        if store {
+            nodes[last].cut_store();
+        }
+        if peers {
+            cut_peers(&nodes, last);
+        }
+        let cut = Instant::now();
+        sleep(Duration::from_millis(300)).await;
+        accept(&nodes[0], edit("second", &sheets(), 1)).await;
+        let accepted = Instant::now();
+
+        while cut.elapsed() < Duration::from_secs(8) {
+            let standing = nodes[last].catalog.standing();
+            let outdated = nodes[last].version(&sheets()) < Version(2);
+            let since = accepted.elapsed();
+            assert!(
+                !(standing.serves() && outdated && since > BOUND + SLACK),
+                "{name}: serves version 1 {since:?} after version 2 was accepted"
+            );
+            sleep(Duration::from_millis(10)).await;
+        }
+        let standing = nodes[last].catalog.standing();
+        assert_eq!(standing.name(), expected, "cut off {name}");
+        assert!(nodes[0].is_confirmed() && nodes[1].is_confirmed(), "{name}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_isolated_entry_is_unconfirmed_within_the_bound_and_returns() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    nodes[2].cut_store();
+    cut_peers(&nodes, 2);
+
+    let time = until("it is unconfirmed", BOUND + SLACK, || {
+        !nodes[2].catalog.standing().serves()
+    })
+    .await;
+
+    assert!(time > Duration::from_secs(2), "{time:?}");
+    let start = Instant::now();
+    let wait = Duration::from_millis(200);
+    let standing = nodes[2].catalog.confirm(wait).await;
+    assert_eq!(standing, Standing::Unconfirmed);
+    assert!(start.elapsed() < wait + SLACK);
+
+    nodes[2].store.set(Flows::default());
+    until("it is confirmed again", Duration::from_secs(4), || {
+        nodes[2].is_confirmed()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_of_the_store_stops_no_entry() {
+    for down in [Down::Refuse, Down::Fail, Down::Hang] {
+        let stand_in = stand_in().await;
+        let nodes = cell(&stand_in, 3).await;
+        accept(&nodes[0], edit("first", &sheets(), 0)).await;
+        set_down(&stand_in, down).await;
+        let start = Instant::now();
+
+        while start.elapsed() < Duration::from_secs(9) {
+            for node in &nodes {
+                let elapsed = start.elapsed();
+                assert!(
+                    node.catalog.standing().serves(),
+                    "{down:?}: {} refuses after {elapsed:?}",
+                    node.name
+                );
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert!(
+            nodes
+                .iter()
+                .all(|node| node.catalog.standing() == Standing::Outage),
+            "{down:?}"
+        );
+
+        set_down(&stand_in, Down::No).await;
+        until("all are confirmed", Duration::from_secs(4), || {
+            nodes.iter().all(Node::is_confirmed)
+        })
+        .await;
+        let accepted = accept(&nodes[1], edit("second", &sheets(), 1)).await;
+        assert_eq!(accepted.outcome.version, Version(2), "{down:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_minority_refuses_during_an_outage_of_the_store() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 5).await;
+    set_down(&stand_in, Down::Refuse).await;
+    until("all note the outage", Duration::from_secs(8), || {
+        nodes
+            .iter()
+            .all(|node| node.catalog.standing() == Standing::Outage)
+    })
+    .await;
+
+    // Entries 3 and 4 hear each other and nobody else.
+    for minority in [3, 4] {
+        for majority in 0..3 {
+            nodes[minority]
+                .peers
+                .set_for(&nodes[majority].name, Flows::CUT);
+            nodes[majority]
+                .peers
+                .set_for(&nodes[minority].name, Flows::CUT);
+        }
+    }
+    sleep(BOUND + SLACK).await;
+
+    for node in &nodes[..3] {
+        assert_eq!(node.catalog.standing(), Standing::Outage, "{}", node.name);
+    }
+    for node in &nodes[3..] {
+        assert_eq!(
+            node.catalog.standing(),
+            Standing::Unconfirmed,
+            "{}",
+            node.name
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frames_that_were_held_up_confirm_from_the_ping_only() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    nodes[2].cut_store();
+    sleep(Duration::from_millis(1_200)).await;
+    assert!(nodes[2].is_confirmed());
+    let set = |back| {
+        for node in &nodes[..2] {
+            let forth = Flow::Silent;
+            node.peers.set_for(&nodes[2].name, Flows { forth, back });
+        }
+    };
+
+    // From now on no ping arrives, and pongs on their way are held up.
+    set(Flow::Stall);
+    let start = Instant::now();
+    sleep(Duration::from_millis(1_500)).await;
+    set(Flow::Pass);
+
+    while start.elapsed() < BOUND + SLACK {
+        if let Standing::Confirmed { age } = nodes[2].catalog.standing() {
+            let since = start.elapsed();
+            assert!(
+                age + SLACK >= since,
+                "{age:?} old, {since:?} after the last ping"
+            );
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert!(!nodes[2].catalog.standing().serves());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_entry_wakes_up_unconfirmed() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    until("first is in force", BOUND, || {
+        nodes[2].version(&sheets()) == Version(1)
+    })
+    .await;
+    nodes[2].pause(Duration::from_secs(7));
+    let start = Instant::now();
+    sleep(Duration::from_millis(100)).await;
+    let accepted = accept(&nodes[0], edit("second", &sheets(), 1)).await;
+    assert_eq!(accepted.in_force, 2);
+
+    let mut unconfirmed = false;
+    while start.elapsed() < Duration::from_secs(9) {
+        let standing = nodes[2].catalog.standing();
+        let version = nodes[2].version(&sheets());
+        let since = start.elapsed();
+        unconfirmed |= !standing.serves();
+        assert!(
+            !(standing.serves() && version < Version(2) && since > BOUND + SLACK),
+            "serves version 1 at {since:?}"
+        );
+        sleep(Duration::from_millis(1)).await;
+    }
+    assert!(unconfirmed);
+    assert!(nodes[2].is_confirmed());
+    assert_eq!(nodes[2].version(&sheets()), Version(2));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_was_paused_is_confirmed_within_200_ms() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    nodes[2].pause(Duration::from_secs(6));
+    sleep(Duration::from_millis(5_900)).await;
+    assert!(!nodes[2].catalog.standing().serves());
+    sleep(Duration::from_millis(100)).await;
+
+    let standing = nodes[2].catalog.confirm(Duration::from_millis(200)).await;
+
+    assert!(standing.serves());
+}
