Renew leases together, and state the true age of samples

An entry that took its leases at different times made one round of reads for each of them; own leases are now renewed in one round. Entries that start together rank the listed ones before their links are open, so that the first one does not take all shards.

A sample's age is the time since the probe was sent. It was stated as zero, also after a pause of the process between the answer and its use. Samples carry the stated load as optional: a target that states none looked idle to peers.

A test cuts the holder off from the store alone: its lease ends a margin before another entry begins.

--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -87,7 +87,7 @@
 fn received(sample: &carobdrift_wire::Sample) -> Sample {
     Sample {
         target: sample.target.clone(),
-        in_flight: sample.healthy.then_some(sample.in_flight),
+        in_flight: sample.in_flight,
         latency: Duration::from_micros(sample.latency_us),
         age: sample.age.duration(),
         start: sample.start.clone(),
--- a/crates/measure/src/leases.rs
+++ b/crates/measure/src/leases.rs
@@ -202,7 +202,14 @@
                 let lease = &mut state.leases[shard.index()];
                 lease.observe(rows.iter().find(|row| row.key == key), now);
                 let due = lease.due(self.rank(shard))?;
-                (due <= now).then(|| (shard, lease.version()))
+                // Own leases are renewed together, which keeps the number of
+                // rounds, and with it the reads, down.
+                let early = if lease.is_own() {
+                    timing.renewal / 2
+                } else {
+                    Duration::ZERO
+                };
+                (due <= now + early).then(|| (shard, lease.version()))
             });
             shards.collect()
         };
@@ -218,7 +225,8 @@
             .filter_map(|shard| state.leases[shard.index()].due(self.rank(shard)))
             .min()
             .unwrap_or(now)
-            .clamp(now + timing.rank_step, now + timing.renewal)
+            .min(now + timing.renewal)
+            .max(now + timing.rank_step)
     }
 
     /// Takes or renews the lease of a shard.
--- a/crates/measure/src/members.rs
+++ b/crates/measure/src/members.rs
@@ -4,8 +4,10 @@
 use carobdrift_units::Instance;
 use tokio::sync::watch;
 
-/// Follows the entries of the cell that are connected and not leaving; this
-/// entry itself is not among them. Ends when the receiver is dropped.
+/// Follows the entries of the cell that are listed or connected, and not
+/// leaving; this entry itself is not among them. Listed ones count before their
+/// links are open, so that entries that start together spread the leases. Ends
+/// when the receiver is dropped.
 #[must_use]
 pub fn follow_members(links: &Links) -> watch::Receiver<Vec<Instance>> {
     let (sender, receiver) = watch::channel(list(links));
@@ -33,7 +35,7 @@
 fn list(links: &Links) -> Vec<Instance> {
     let peers = links.peers().into_iter();
     peers
-        .filter(|peer| peer.connected && !peer.leaving)
+        .filter(|peer| (peer.member || peer.connected) && !peer.leaving)
         .map(|peer| peer.instance)
         .collect()
 }
--- a/crates/measure/src/prober.rs
+++ b/crates/measure/src/prober.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use carobdrift_balance::{Sample, Standing, TargetView};
-use carobdrift_units::{Millis, Service};
+use carobdrift_units::Service;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -183,12 +183,15 @@
             latency,
             ..Health::default()
         });
+        // The answer may have left the target right after the probe arrived,
+        // and waited here while this process was paused.
+        let age = health.latency;
         let sample = carobdrift_wire::Sample {
             service: service.clone(),
             target: done.view.target.clone(),
-            in_flight: health.in_flight.unwrap_or(0),
+            in_flight: health.in_flight,
             latency_us: u64::try_from(health.latency.as_micros()).unwrap_or(u64::MAX),
-            age: Millis(0),
+            age: age.into(),
             start: health.start.clone(),
             healthy: health.healthy,
         };
@@ -198,7 +201,7 @@
             target: done.view.target,
             in_flight: health.in_flight,
             latency: health.latency,
-            age: Duration::ZERO,
+            age,
             start: health.start,
             healthy: health.healthy,
             draining: health.draining,
--- a/crates/measure/tests/all/fixture.rs
+++ b/crates/measure/tests/all/fixture.rs
@@ -12,7 +12,10 @@
 use carobdrift_units::{Cell, Incarnation, Instance, Version};
 use prometheus::Registry;
 use serde_json::json;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, JoinSet};
 
 /// Shorter than in production; the margin stays the window of the budget.
 pub(crate) const TIMING: Timing = Timing {
@@ -119,3 +122,32 @@
         }
     }
 }
+
+/// A way to the platform that is cut when dropped.
+pub(crate) struct Way {
+    pub(crate) address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Way {
+    pub(crate) async fn open(platform: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let task = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
+            while let Ok((mut near, _)) = listener.accept().await {
+                connections.spawn(async move {
+                    let mut far = TcpStream::connect(platform).await.unwrap();
+                    let _ = copy_bidirectional(&mut near, &mut far).await;
+                });
+            }
+        });
+        Self { address, task }
+    }
+}
+
+impl Drop for Way {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- a/crates/measure/tests/all/leases.rs
+++ b/crates/measure/tests/all/leases.rs
@@ -7,10 +7,13 @@
 use carobdrift_test_support::platform::{Down, Fault, Lose};
 use tokio::time::sleep;
 
-use crate::fixture::{TIMING, cell, leases, platform};
+use crate::fixture::{TIMING, Way, cell, leases, platform};
 
 const STEP: Duration = Duration::from_millis(5);
 
+/// Delay with which the end of a lease may be noticed here.
+const TOLERANCE: Duration = Duration::from_millis(100);
+
 fn held(leases: &Leases) -> usize {
     Shard::all().filter(|s| leases.tenure(*s).is_some()).count()
 }
@@ -111,6 +114,36 @@
     }
 }
 
+/// The holder believes in its lease until its own clock ends it, while an entry
+/// that still reaches the store waits for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_that_is_cut_off_from_the_store_ends_before_its_successor_begins() {
+    let platform = platform().await;
+    let way = Way::open(platform.address()).await;
+    let first = leases(0, way.address);
+    settle(&[&first], Duration::from_secs(3)).await;
+    let second = leases(1, platform.address());
+    sleep(TIMING.renewal * 2).await;
+
+    drop(way);
+    let start = Instant::now();
+    let mut ended = None;
+    while held(&second) < usize::from(Shard::COUNT) {
+        assert!(start.elapsed() < TIMING.duration * 3, "{}", held(&second));
+        if ended.is_none() && held(&first) == 0 {
+            ended = Some(Instant::now());
+        }
+        if held(&second) > 0 {
+            let gap = ended.map(|ended| ended.elapsed());
+            assert!(
+                gap.is_some_and(|gap| gap + TOLERANCE >= TIMING.margin),
+                "{gap:?}"
+            );
+        }
+        sleep(STEP).await;
+    }
+}
+
 /// Joins, deaths, releases and faults in turn; every 5 ms each shard has at
 /// most one holder.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -135,8 +135,9 @@
     pub service: Service,
     /// The target.
     pub target: Target,
-    /// Requests in flight that the target stated.
-    pub in_flight: u32,
+    /// Requests in flight that the target stated; absent when it gave no
+    /// answer or stated none.
+    pub in_flight: Option<u32>,
     /// Latency of the probe in microseconds.
     pub latency_us: u64,
     /// Age of the sample when the frame was sent.
