Bound the probes that a new holder leaves in a stopped target

A successor does not know how many probes of its predecessor wait in the sockets of a target that is stopped. Until its first answer it leaves one at most, which the part of the budget covers that no holder uses.

A result reaches the own pool before the peers.

--- a/crates/measure/src/pace.rs
+++ b/crates/measure/src/pace.rs
@@ -39,6 +39,9 @@
     /// When it was last looked at.
     looked: Instant,
     outstanding: bool,
+    /// Whether this process has had an answer to a probe. Until then a former
+    /// holder may have left probes in the target's sockets.
+    proven: bool,
     /// Ends of the probes that may arrive yet.
     unanswered: VecDeque<Instant>,
 }
@@ -51,6 +54,7 @@
             last: None,
             looked: now,
             outstanding: false,
+            proven: false,
             unanswered: VecDeque::new(),
         }
     }
@@ -71,7 +75,8 @@
         let rested = self
             .last
             .is_none_or(|last| now.saturating_duration_since(last) >= interval(budget));
-        rested && !self.outstanding && self.unanswered.len() < usable
+        let limit = if self.proven { usable } else { usable.min(1) };
+        rested && !self.outstanding && self.unanswered.len() < limit
     }
 
     /// A probe begins.
@@ -85,7 +90,10 @@
         self.last = Some(now);
         self.looked = now;
         match ending {
-            Ending::Answered => self.unanswered.clear(),
+            Ending::Answered => {
+                self.proven = true;
+                self.unanswered.clear();
+            }
             Ending::Gone => {}
             Ending::Unanswered => self.unanswered.push_back(now),
         }
--- a/crates/measure/src/prober.rs
+++ b/crates/measure/src/prober.rs
@@ -186,26 +186,26 @@
         // The answer may have left the target right after the probe arrived,
         // and waited here while this process was paused.
         let age = health.latency;
+        done.subject.pool.learn(&Sample {
+            target: done.view.target.clone(),
+            in_flight: health.in_flight,
+            latency: health.latency,
+            age,
+            start: health.start.clone(),
+            healthy: health.healthy,
+            draining: health.draining,
+        });
         let sample = carobdrift_wire::Sample {
             service: service.clone(),
-            target: done.view.target.clone(),
+            target: done.view.target,
             in_flight: health.in_flight,
             latency_us: u64::try_from(health.latency.as_micros()).unwrap_or(u64::MAX),
             age: age.into(),
-            start: health.start.clone(),
+            start: health.start,
             healthy: health.healthy,
         };
         // Full only when the links are behind, and then the sample is stale.
         let _ = self.samples.try_send(sample);
-        done.subject.pool.learn(&Sample {
-            target: done.view.target,
-            in_flight: health.in_flight,
-            latency: health.latency,
-            age,
-            start: health.start,
-            healthy: health.healthy,
-            draining: health.draining,
-        });
     }
 }
 
--- a/crates/measure/tests/all/main.rs
+++ b/crates/measure/tests/all/main.rs
@@ -6,5 +6,6 @@
 mod lease;
 mod leases;
 mod pace;
+mod probe;
 mod shares;
 mod target;
--- a/crates/measure/tests/all/pace.rs
+++ b/crates/measure/tests/all/pace.rs
@@ -75,6 +75,37 @@
     assert!(!pace.permits(2, now + SECOND / 2));
 }
 
+/// Probes the target for 20 s without an answer; returns how many wait in its
+/// sockets then.
+fn probe_stopped_target(pace: &mut Pace, budget: u32, start: Instant) -> u32 {
+    let mut waiting = 0;
+    for millis in (0..20_000).step_by(10) {
+        let now = start + Duration::from_millis(millis);
+        if pace.permits(budget, now) {
+            pace.begin();
+            pace.end(Ending::Unanswered, now);
+            waiting += 1;
+        }
+    }
+    waiting
+}
+
+#[test]
+fn target_that_stops_across_a_change_of_the_holder_is_within_the_budget() {
+    for budget in [2, 3, 10] {
+        let start = Instant::now();
+        let mut former = Pace::start(start);
+        former.begin();
+        former.end(Ending::Answered, start);
+        let mut successor = Pace::start(start);
+
+        let waiting = probe_stopped_target(&mut former, budget, start)
+            + probe_stopped_target(&mut successor, budget, start);
+
+        assert_eq!(waiting, budget);
+    }
+}
+
 /// Probes that wait in the sockets of a stopped target run together once it
 /// goes on, although their connections were closed.
 #[test]
@@ -82,15 +113,10 @@
     for budget in [2, 3, 10] {
         let start = Instant::now();
         let mut pace = Pace::start(start);
-        let mut waiting = 0;
-        for millis in (0..20_000).step_by(10) {
-            let now = start + Duration::from_millis(millis);
-            if pace.permits(budget, now) {
-                pace.begin();
-                pace.end(Ending::Unanswered, now);
-                waiting += 1;
-            }
-        }
+        pace.begin();
+        pace.end(Ending::Answered, start);
+
+        let waiting = probe_stopped_target(&mut pace, budget, start);
 
         assert_eq!(waiting, budget - 1);
         pace.answered(start + SECOND * 20);
