--- a/crates/measure/tests/all/budget.rs
+++ b/crates/measure/tests/all/budget.rs
@@ -10,7 +10,7 @@
 use carobdrift_test_support::platform::{Down, Fault, Lose};
 use tokio::time::sleep;
 
-use crate::fixture::{Entry, TIMING, platform, subject};
+use crate::fixture::{Entry, TIMING, platform, subject, until};
 use crate::target::{Mode, Target};
 
 const BUDGETS: [u32; 3] = [2, 4, 20];
@@ -72,9 +72,7 @@
     let leaving = services[2].pool.clone();
     let entry = Entry::start(0, platform.address(), services.to_vec());
     let shard = Shard::of(&"draws".parse().unwrap());
-    while entry.leases.tenure(shard).is_none() || targets[2].arrivals().is_empty() {
-        sleep(Duration::from_millis(5)).await;
-    }
+    until(|| entry.leases.tenure(shard).is_some() && !targets[2].arrivals().is_empty()).await;
 
     leaving.mark_leaving(&"t1".parse().unwrap(), Evidence::List, None);
     // A probe may have been on its way.
@@ -200,9 +198,7 @@
             sleep(TIMING.duration * 4).await;
         });
     });
-    while checks.load(Ordering::SeqCst) < 1 {
-        sleep(Duration::from_millis(5)).await;
-    }
+    until(|| checks.load(Ordering::SeqCst) > 0).await;
     let services = vec![subject("sheets", 2, target.address)];
     let successor = Entry::start(1, platform.address(), services);
     sleep(TIMING.duration * 3).await;
--- a/crates/measure/tests/all/fixture.rs
+++ b/crates/measure/tests/all/fixture.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep};
 
 /// Shorter than in production; the margin stays the window of the budget.
 pub(crate) const TIMING: Timing = Timing {
@@ -28,6 +29,15 @@
 /// Timeout of probes.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Waits until the condition holds, 10 s at most.
+pub(crate) async fn until(condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < Duration::from_secs(10), "waited in vain");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 pub(crate) async fn platform() -> StandIn {
     StandIn::bind(platform::Settings::default()).await.unwrap()
 }
--- a/crates/measure/tests/all/probe.rs
+++ b/crates/measure/tests/all/probe.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::fixture::{leases, metrics, platform, subject, subjects};
+use crate::fixture::{leases, metrics, platform, subject, subjects, until};
 use crate::target::{Mode, Target};
 
 async fn next(samples: &mut mpsc::Receiver<Sample>) -> Sample {
@@ -54,10 +54,8 @@
     assert_eq!(standing(&pool), Standing::Active);
 
     target.act(&Action::Drain { at_least_ms: 5_000 });
-    while standing(&pool) == Standing::Active {
-        next(&mut samples).await;
-    }
-    assert_eq!(standing(&pool), Standing::Leaving(Evidence::Response));
+    let leaving = Standing::Leaving(Evidence::Response);
+    until(|| standing(&pool) == leaving).await;
     let probes = target.probes_us().len();
     sleep(Duration::from_millis(500)).await;
     assert_eq!(target.probes_us().len(), probes);
@@ -97,7 +95,9 @@
         sleep(Duration::from_millis(50)).await;
     };
     // Waits for the end of the slow start, in which a cold target is probed.
+    let start = Instant::now();
     while pool.view()[0].cold || pool.view()[0].last_answer.is_none() {
+        assert!(start.elapsed() < Duration::from_secs(10), "still cold");
         answer().await;
     }
     let leases = leases(0, platform.address());
--- a/crates/measure/tests/all/shares.rs
+++ b/crates/measure/tests/all/shares.rs
@@ -14,7 +14,7 @@
 use prometheus::Registry;
 use tokio::time::sleep;
 
-use crate::fixture::{cell, client, instance, leases, metrics, platform, subject, subjects};
+use crate::fixture::{cell, client, instance, leases, metrics, platform, subject, subjects, until};
 
 const ENTRIES: u32 = 20;
 
@@ -46,9 +46,7 @@
 }
 
 async fn hold(leases: &Leases, shard: Shard) -> Instant {
-    while leases.tenure(shard).is_none() {
-        sleep(Duration::from_millis(5)).await;
-    }
+    until(|| leases.tenure(shard).is_some()).await;
     Instant::now()
 }
 
