--- a/crates/measure/tests/all/fixture.rs
+++ b/crates/measure/tests/all/fixture.rs
@@ -12,7 +12,11 @@
 use carobdrift_units::{Cell, Incarnation, Instance, Version};
 use prometheus::Registry;
 use serde_json::json;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep};
 
 /// Shorter than in production; the margin stays the window of the budget.
 pub(crate) const TIMING: Timing = Timing {
@@ -25,6 +29,15 @@
 /// Timeout of probes.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Waits until the condition holds, 10 s at most.
+pub(crate) async fn until(condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < Duration::from_secs(10), "waited in vain");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 pub(crate) async fn platform() -> StandIn {
     StandIn::bind(platform::Settings::default()).await.unwrap()
 }
@@ -119,3 +132,32 @@
         }
     }
 }
+
+/// A way to the platform that is cut when dropped.
+pub(crate) struct Way {
+    pub(crate) address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Way {
+    pub(crate) async fn open(platform: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let task = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
+            while let Ok((mut near, _)) = listener.accept().await {
+                connections.spawn(async move {
+                    let mut far = TcpStream::connect(platform).await.unwrap();
+                    let _ = copy_bidirectional(&mut near, &mut far).await;
+                });
+            }
+        });
+        Self { address, task }
+    }
+}
+
+impl Drop for Way {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
