Keep the outcome of an open transaction and the standing in an outage exact

A quorum that was lost after a transaction with an unknown outcome ended the edit as not written, although the transaction could still take effect. Such an edit now ends as unknown.

A poll stated the store as reachable before it had confirmed the documents. A peer in an outage that received a pong in between had to refuse until the next pong. The confirmation is now stated first.

A row of an unknown format hides the owner of its service, so only an operator of the installation may replace it.

--- a/crates/catalog/src/edit.rs
+++ b/crates/catalog/src/edit.rs
@@ -70,11 +70,15 @@
     /// It was accepted earlier.
     Accepted(Outcome),
     /// It can be written.
-    Ready {
-        log_version: u64,
-        log: ChangeLog,
-        replaced: Option<Copy>,
-    },
+    Ready(Ready),
+}
+
+/// What the transaction of an edit is based on.
+struct Ready {
+    log_version: u64,
+    log: ChangeLog,
+    /// The document that the edit replaces.
+    replaced: Option<Copy>,
 }
 
 /// Runs an edit to its end.
@@ -120,44 +124,29 @@
     // Cause of a transaction that may still take effect.
     let mut open: Option<Error> = None;
     loop {
-        let error = match attempt.look(shared).await {
+        let refused = match attempt.look(shared).await {
             Ok(Stage::Accepted(outcome)) => return Ok(outcome),
-            Ok(Stage::Ready {
-                log_version,
-                log,
-                replaced,
-            }) => {
-                check_quorum(shared)?;
-                match attempt.send(shared, log_version, log).await {
-                    Ok(outcome) => {
-                        if let Some(replaced) = replaced {
-                            keep(shared, replaced);
-                        }
-                        return Ok(outcome);
-                    }
-                    // The next look tells which row changed. The same
-                    // transaction can't take effect twice, because it requires
-                    // the row of the edit to be absent.
-                    Err(error) => error,
-                }
-            }
-            Err(Refused::Final(error)) => return Err(error),
-            Err(Refused::Store(error)) if open.is_none() => {
-                return Err(EditError::Unavailable(error));
-            }
-            Err(Refused::Store(error)) => error,
+            Ok(Stage::Ready(ready)) => match attempt.send(shared, ready).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(refused) => refused,
+            },
+            Err(refused) => refused,
         };
-        if matches!(error, Error::Unknown(_)) {
-            log::warn!(target: "catalog", "reading back edit {}: {error}", edit.id);
-        }
-        let conflict = matches!(error, Error::Conflict(_));
-        match error {
-            Error::Unknown(_) => open = Some(error),
-            // A transaction that was refused leaves an earlier one open.
-            Error::Unavailable(_) | Error::Protocol(_) if open.is_none() => {
-                return Err(EditError::Unavailable(error));
+        match refused {
+            // Another write has the version or the id, so no transaction of
+            // this edit can take effect any more.
+            Refused::Final(error) => return Err(error),
+            Refused::Now(error) if open.is_none() => return Err(error),
+            // The next look tells which row changed.
+            Refused::Store(Error::Conflict(_)) => shared.metrics.count_edit("retried"),
+            // Sent again after the next look. It can't take effect twice,
+            // because it requires the row of the edit to be absent.
+            Refused::Store(error @ Error::Unknown(_)) => {
+                log::warn!(target: "catalog", "reading back edit {}: {error}", edit.id);
+                open = Some(error);
             }
-            Error::Conflict(_) | Error::Unavailable(_) | Error::Protocol(_) => {}
+            Refused::Store(error) if open.is_none() => return Err(EditError::Unavailable(error)),
+            Refused::Now(_) | Refused::Store(_) => {}
         }
         if Instant::now() >= deadline {
             let edit = edit.id.clone();
@@ -166,9 +155,6 @@
                 None => EditError::Contention,
             });
         }
-        if conflict {
-            shared.metrics.count_edit("retried");
-        }
         // A statement of its own: the generator can't be held across the wait.
         let pause = rand::rng().random_range(Duration::ZERO..PAUSE);
         sleep(pause).await;
@@ -187,19 +173,26 @@
     }
 }
 
-/// Why an edit could not be looked up.
+/// Why a look or a transaction did not lead on.
 enum Refused {
+    /// No transaction of the edit can take effect any more.
     Final(EditError),
+    /// No transaction can be sent now; one that was sent may take effect.
+    Now(EditError),
     Store(Error),
 }
 
+impl From<Error> for Refused {
+    fn from(error: Error) -> Self {
+        Self::Store(error)
+    }
+}
+
 impl From<StoreError> for Refused {
     fn from(error: StoreError) -> Self {
         match error {
             StoreError::Platform(error) => Self::Store(error),
-            StoreError::Malformed { key, cause } => {
-                Self::Final(EditError::Malformed { key, cause })
-            }
+            StoreError::Malformed { key, cause } => Self::Now(EditError::Malformed { key, cause }),
         }
     }
 }
@@ -213,7 +206,7 @@
             shared.client.read(&key),
             read_log(&shared.client, &shared.cell)
         );
-        let document = document.map_err(Refused::Store)?;
+        let document = document?;
         let (log_version, log) = log?;
         if let Some(row) = read_edit(&shared.client, &self.edit.id).await? {
             return if row.digest == self.digest && row.outcome.service == *self.service {
@@ -227,8 +220,14 @@
         if let Some(row) = document {
             let (version, body, document) = read_document(&row);
             current = version;
-            if let Some(document) = document {
-                self.check_owner(shared, document).map_err(Refused::Final)?;
+            match document {
+                Ok(document) => self.check_owner(shared, document).map_err(Refused::Final)?,
+                // Without a known owner only an operator of the installation
+                // may replace it.
+                Err(cause) if self.edit.owner.is_some() => {
+                    return Err(Refused::Now(EditError::Malformed { key, cause }));
+                }
+                Err(_) => {}
             }
             replaced = Some(Copy {
                 service: self.service.clone(),
@@ -237,11 +236,11 @@
             });
         }
         if current == self.edit.expected {
-            Ok(Stage::Ready {
+            Ok(Stage::Ready(Ready {
                 log_version,
                 log,
                 replaced,
-            })
+            }))
         } else {
             Err(Refused::Final(EditError::Conflict {
                 service: self.service.clone(),
@@ -269,26 +268,24 @@
 
     /// Sends the transaction that writes the document, the change log and the
     /// row of the edit.
-    async fn send(
-        &self,
-        shared: &Shared,
-        log_version: u64,
-        log: ChangeLog,
-    ) -> Result<Outcome, Error> {
-        let log = log.with(
-            self.service.clone(),
-            self.edit.expected.next(),
-            &self.transaction,
-        );
+    async fn send(&self, shared: &Shared, ready: Ready) -> Result<Outcome, Refused> {
+        check_quorum(shared).map_err(Refused::Now)?;
+        let version = self.edit.expected.next();
+        let log = ready
+            .log
+            .with(self.service.clone(), version, &self.transaction);
         let outcome = Outcome {
             edit: self.edit.id.clone(),
             service: self.service.clone(),
             team: self.edit.document.team.clone(),
-            version: self.edit.expected.next(),
+            version,
             revision: log.revision,
         };
-        let transaction = self.transaction(shared, log_version, &log, &outcome)?;
+        let transaction = self.transaction(shared, ready.log_version, &log, &outcome)?;
         shared.client.transact(&transaction).await?;
+        if let Some(replaced) = ready.replaced {
+            keep(shared, replaced);
+        }
         Ok(outcome)
     }
 
--- a/crates/catalog/src/poll.rs
+++ b/crates/catalog/src/poll.rs
@@ -34,9 +34,6 @@
 /// Longest time between polls while the store can't be reached.
 const FAILURE_GAP_MAX: Duration = Duration::from_secs(2);
 
-/// Time within which a poll must be answered to count.
-const POLL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Documents read at the same time while catching up.
 const CONCURRENT_READS: usize = 8;
 
@@ -105,25 +102,20 @@
 /// Polls once. Returns whether the store confirmed the documents.
 async fn poll(shared: &Shared) -> bool {
     let sent = Instant::now();
-    let read = tokio::time::timeout(POLL_TIMEOUT, read_log(&shared.client, &shared.cell)).await;
-    let result = match read {
-        Ok(Ok((_, log))) => {
-            note_store(shared, true);
-            let revision = log.revision;
-            catch_up(shared, log).await.map(|()| revision)
-        }
-        Ok(Err(error)) => Err(error),
-        Err(_) => {
-            shared.metrics.count_poll("timed-out");
-            note_store(shared, false);
-            return false;
-        }
+    let polled = async {
+        let (_, log) = read_log(&shared.client, &shared.cell).await?;
+        let revision = log.revision;
+        catch_up(shared, log).await?;
+        Ok::<_, StoreError>(revision)
     };
-    match result {
+    match polled.await {
         Ok(revision) => {
             shared.metrics.count_poll("confirmed");
             // From the moment of sending: later edits may be missing.
             shared.state.confirm(sent, revision);
+            // Stated after the confirmation. A peer in an outage that saw the
+            // store reachable before would have to refuse in between.
+            note_store(shared, true);
             true
         }
         Err(error) => {
@@ -218,7 +210,7 @@
                 return None;
             };
             let (version, body, document) = read_document(&row);
-            if document.is_some_and(|document| document.cell != shared.cell) {
+            if document.is_ok_and(|document| document.cell != shared.cell) {
                 return None;
             }
             Some(Copy {
--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -127,14 +127,16 @@
     client.read(&edit_key(edit)).await?.map(parse).transpose()
 }
 
-/// Version and body of a document row, and the cell that it belongs to when the
-/// row is of a known format.
-pub(crate) fn read_document(row: &Row) -> (Version, String, Option<DocumentRow>) {
+/// Version and body of a document row, and the whole value when the row is of a
+/// known format.
+pub(crate) fn read_document(
+    row: &Row,
+) -> (Version, String, Result<DocumentRow, serde_json::Error>) {
     let version = Version(row.version);
     match DocumentRow::deserialize(&row.value) {
-        Ok(document) => (version, document.body.clone(), Some(document)),
+        Ok(document) => (version, document.body.clone(), Ok(document)),
         // Kept as a body that can't be parsed, so that the version is known.
-        Err(_) => (version, row.value.to_string(), None),
+        Err(error) => (version, row.value.to_string(), Err(error)),
     }
 }
 
--- a/crates/catalog/tests/all/fixture.rs
+++ b/crates/catalog/tests/all/fixture.rs
@@ -64,14 +64,7 @@
 /// Starts an entry that the instance list shows.
 pub(crate) async fn start(stand_in: &StandIn, name: &str) -> Node {
     let peers = Arc::new(Relay::bind().await.unwrap());
-    let unused = "127.0.0.1:9".parse().unwrap();
-    stand_in.put_instance(Listing::entry(
-        &id(name),
-        "main".parse().unwrap(),
-        "hobart".parse().unwrap(),
-        "tasmania".parse().unwrap(),
-        [unused, unused, peers.address()],
-    ));
+    list(stand_in, name, &peers);
     start_behind(stand_in, name, peers).await
 }
 
@@ -79,21 +72,8 @@
 pub(crate) async fn start_behind(stand_in: &StandIn, name: &str, peers: Arc<Relay>) -> Node {
     let store = Relay::bind().await.unwrap();
     store.set_target(stand_in.address());
-    let unused = "127.0.0.1:9".parse().unwrap();
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let listen = free.local_addr().unwrap();
-    drop(free);
-    let settings = Settings {
-        instance: id(name),
-        incarnation: Incarnation::draw(),
-        cell: "main".parse().unwrap(),
-        zone: "hobart".parse().unwrap(),
-        caller: unused,
-        admin: unused,
-        listen,
-        advertise: Some(peers.address()),
-        secret: Secret::new("peers only".to_owned()),
-    };
+    let settings = settings(name, &peers);
+    let listen = settings.listen;
     let client = Client::open(carobdrift_platform::Settings {
         address: store.address(),
         timeout: Duration::from_secs(1),
@@ -127,6 +107,62 @@
     }
 }
 
+fn settings(name: &str, peers: &Relay) -> Settings {
+    let unused = "127.0.0.1:9".parse().unwrap();
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let listen = free.local_addr().unwrap();
+    drop(free);
+    Settings {
+        instance: id(name),
+        incarnation: Incarnation::draw(),
+        cell: "main".parse().unwrap(),
+        zone: "hobart".parse().unwrap(),
+        caller: unused,
+        admin: unused,
+        listen,
+        advertise: Some(peers.address()),
+        secret: Secret::new("peers only".to_owned()),
+    }
+}
+
+/// A peer that states what the test wants and answers no query.
+pub(crate) struct Puppet {
+    pub(crate) links: Links,
+    _inbox: Inbox,
+    _relay: Relay,
+}
+
+/// Starts a peer without documents of its own.
+pub(crate) async fn start_puppet(stand_in: &StandIn, name: &str) -> Puppet {
+    let relay = Relay::bind().await.unwrap();
+    list(stand_in, name, &relay);
+    let settings = settings(name, &relay);
+    relay.set_target(settings.listen);
+    let client = Client::open(carobdrift_platform::Settings {
+        address: stand_in.address(),
+        timeout: Duration::from_secs(1),
+    });
+    let metrics = LinkMetrics::register(&Registry::new()).unwrap();
+    let (links, inbox) = Links::bind(settings, client, metrics).await.unwrap();
+    Puppet {
+        links,
+        _inbox: inbox,
+        _relay: relay,
+    }
+}
+
+/// Puts an entry on the instance list.
+pub(crate) fn list(stand_in: &StandIn, name: &str, peers: &Relay) {
+    let unused = "127.0.0.1:9".parse().unwrap();
+    stand_in.put_instance(Listing::entry(
+        &id(name),
+        "main".parse().unwrap(),
+        "hobart".parse().unwrap(),
+        "tasmania".parse().unwrap(),
+        [unused, unused, peers.address()],
+    ));
+}
+
 /// What an entry does with the frames of its peers.
 async fn dispatch(catalog: Catalog, mut inbox: Inbox) {
     while let Some(inbound) = inbox.recv().await {
--- a/crates/catalog/tests/all/standing.rs
+++ b/crates/catalog/tests/all/standing.rs
@@ -1,16 +1,20 @@
 //! Guards against entries that serve with documents that may be outdated, and
 //! against entries that refuse without need.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use carobdrift_catalog::Standing;
-use carobdrift_test_support::platform::Down;
-use carobdrift_test_support::relay::{Flow, Flows};
-use carobdrift_units::Version;
+use carobdrift_membership::Confirmation;
+use carobdrift_test_support::platform::{Down, Fault};
+use carobdrift_test_support::relay::{Flow, Flows, Relay};
+use carobdrift_units::{Revision, Version};
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::fixture::{
-    BOUND, Node, accept, cell, cut_peers, edit, set_down, sheets, stand_in, until,
+    BOUND, Node, accept, cell, cut_peers, edit, list, set_down, sheets, stand_in, start_behind,
+    start_puppet, until,
 };
 
 /// Time that the scheduler may add to a bound.
@@ -88,39 +92,46 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_outage_of_the_store_stops_no_entry() {
+    let mut checks = JoinSet::new();
     for down in [Down::Refuse, Down::Fail, Down::Hang] {
-        let stand_in = stand_in().await;
-        let nodes = cell(&stand_in, 3).await;
-        accept(&nodes[0], edit("first", &sheets(), 0)).await;
-        set_down(&stand_in, down).await;
-        let start = Instant::now();
-
-        while start.elapsed() < Duration::from_secs(9) {
-            for node in &nodes {
-                let elapsed = start.elapsed();
-                assert!(
-                    node.catalog.standing().serves(),
-                    "{down:?}: {} refuses after {elapsed:?}",
-                    node.name
-                );
-            }
-            sleep(Duration::from_millis(5)).await;
-        }
-        assert!(
-            nodes
-                .iter()
-                .all(|node| node.catalog.standing() == Standing::Outage),
-            "{down:?}"
-        );
+        checks.spawn(check_outage(down));
+    }
+    checks.join_all().await;
+}
 
-        set_down(&stand_in, Down::No).await;
-        until("all are confirmed", Duration::from_secs(4), || {
-            nodes.iter().all(Node::is_confirmed)
-        })
-        .await;
-        let accepted = accept(&nodes[1], edit("second", &sheets(), 1)).await;
-        assert_eq!(accepted.outcome.version, Version(2), "{down:?}");
+async fn check_outage(down: Down) {
+    let stand_in = stand_in().await;
+    // Enough for the last ranks to have the longest delay.
+    let nodes = cell(&stand_in, 13).await;
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    set_down(&stand_in, down).await;
+    let start = Instant::now();
+
+    while start.elapsed() < Duration::from_secs(9) {
+        for node in &nodes {
+            let elapsed = start.elapsed();
+            assert!(
+                node.catalog.standing().serves(),
+                "{down:?}: {} refuses after {elapsed:?}",
+                node.name
+            );
+        }
+        sleep(Duration::from_millis(5)).await;
     }
+    assert!(
+        nodes
+            .iter()
+            .all(|node| node.catalog.standing() == Standing::Outage),
+        "{down:?}"
+    );
+
+    set_down(&stand_in, Down::No).await;
+    until("all are confirmed", Duration::from_secs(4), || {
+        nodes.iter().all(Node::is_confirmed)
+    })
+    .await;
+    let accepted = accept(&nodes[1], edit("second", &sheets(), 1)).await;
+    assert_eq!(accepted.outcome.version, Version(2), "{down:?}");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -239,3 +250,162 @@
 
     assert!(standing.serves());
 }
+
+/// What the two peers of an entry state while it can't reach the store.
+struct Statement {
+    name: &'static str,
+    /// Whether the entry was confirmed before the store became unreachable.
+    recovered: bool,
+    first: Confirmation,
+    second: Confirmation,
+    /// Whether the peers keep stating that they were just confirmed.
+    confirmed: bool,
+    expected: &'static str,
+}
+
+fn statements() -> Vec<Statement> {
+    let outage = Confirmation {
+        recovered: true,
+        ..Confirmation::default()
+    };
+    let case = Statement {
+        name: "all report an outage",
+        recovered: true,
+        first: outage,
+        second: outage,
+        confirmed: false,
+        expected: "outage",
+    };
+    let newer = Confirmation {
+        revision: Revision(1),
+        ..outage
+    };
+    let reachable = Confirmation {
+        store_reachable: true,
+        ..outage
+    };
+    let fresh = Confirmation::default();
+    vec![
+        Statement {
+            name: "one reaches the store",
+            second: reachable,
+            expected: "unconfirmed",
+            ..case
+        },
+        Statement {
+            name: "one knows a newer document",
+            second: newer,
+            expected: "unconfirmed",
+            ..case
+        },
+        Statement {
+            name: "one is fresh",
+            second: fresh,
+            ..case
+        },
+        Statement {
+            name: "both are fresh",
+            first: fresh,
+            second: fresh,
+            expected: "unconfirmed",
+            ..case
+        },
+        Statement {
+            name: "the entry is fresh",
+            recovered: false,
+            expected: "unconfirmed",
+            ..case
+        },
+        Statement {
+            name: "confirmed with the same document",
+            confirmed: true,
+            expected: "confirmed",
+            ..case
+        },
+        Statement {
+            name: "confirmed with a newer document",
+            first: newer,
+            second: newer,
+            confirmed: true,
+            expected: "unconfirmed",
+            ..case
+        },
+        case,
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn statements_of_peers_decide_the_standing_without_the_store() {
+    let mut checks = JoinSet::new();
+    for case in statements() {
+        checks.spawn(check_statement(case));
+    }
+    checks.join_all().await;
+}
+
+async fn check_statement(case: Statement) {
+    let stand_in = stand_in().await;
+    let first = start_puppet(&stand_in, "first").await;
+    let second = start_puppet(&stand_in, "second").await;
+    let relay = Arc::new(Relay::bind().await.unwrap());
+    list(&stand_in, "entry-0", &relay);
+    until("both dial it", BOUND, || {
+        first.links.peers().len() == 2 && second.links.peers().len() == 2
+    })
+    .await;
+    if !case.recovered {
+        set_down(&stand_in, Down::Refuse).await;
+    }
+    let node = start_behind(&stand_in, "entry-0", relay).await;
+    let heard = || {
+        let peers = node.links.peers();
+        peers.iter().filter(|peer| peer.heard.is_some()).count()
+    };
+    until("it hears both", BOUND, || heard() == 2).await;
+    assert_eq!(node.links.cell_size(), 3);
+    if case.recovered {
+        until("it is confirmed", BOUND, || node.is_confirmed()).await;
+        set_down(&stand_in, Down::Refuse).await;
+    }
+    let state = || {
+        let at = case.confirmed.then(Instant::now);
+        let pairs = [(&first, case.first), (&second, case.second)];
+        for (puppet, confirmation) in pairs {
+            puppet
+                .links
+                .publish_confirmation(Confirmation { at, ..confirmation });
+        }
+    };
+
+    let start = Instant::now();
+    while start.elapsed() < BOUND + Duration::from_secs(1) {
+        state();
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    let standing = node.catalog.standing();
+    assert_eq!(standing.name(), case.expected, "{}", case.name);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_poll_confirms_from_its_sending() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 1).await;
+    let delay = Duration::from_millis(600);
+    let fault = Fault {
+        slow_ms: 600,
+        ..Fault::default()
+    };
+    stand_in.set_fault(fault).await;
+    sleep(Duration::from_millis(1_200)).await;
+
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        let standing = nodes[0].catalog.standing();
+        let Standing::Confirmed { age } = standing else {
+            panic!("{standing:?}")
+        };
+        assert!(age >= delay, "{age:?} old after a poll that took {delay:?}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
