--- a/crates/proxy/tests/all/cancel.rs
+++ b/crates/proxy/tests/all/cancel.rs
@@ -1,8 +1,8 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use carobdrift_test_support::target::{End, Faults, Run, ServiceTime, Settings};
 
-use crate::fixture::{Ask, Entry, client, get, post, send, target, target_with};
+use crate::fixture::{Ask, Entry, client, document, get, post, send, target, target_with};
 
 /// Waits until the run of a token has ended.
 async fn ended(entry: &Entry, token: &str) -> Run {
@@ -71,41 +71,52 @@
 /// the two answers.
 #[tokio::test]
 async fn the_loser_of_a_hedge_is_cancelled() {
-    let targets = vec![
-        target(Faults::default()).await,
-        target(Faults::default()).await,
-    ];
-    let entry = Entry::with_targets(targets, |document| {
+    let hedging = |document: &mut serde_json::Value| {
         document["hedging"] = serde_json::json!(
-            {"after_percentile": 95, "min_delay_ms": 5, "budget_percent": 100}
+            {"after_percentile": 95, "min_delay_ms": 100, "budget_percent": 100}
         );
         document["balancing"]["policy"] = "adaptive".into();
-    })
-    .await;
+    };
+    let slow = target(Faults::default()).await;
+    let entry = Entry::with_targets(vec![slow], hedging).await;
     for number in 0..200 {
         let token = format!("warm-{number}");
         let answer = entry.ask(get(&token)).await.expect("the entry answers");
         assert!(answer.is_own(&token, ""));
     }
-    entry.targets[0].set_faults(Faults {
-        late_ms: 600,
+    let slow = &entry.targets[0];
+    slow.set_faults(Faults {
+        late_ms: 700,
         ..Faults::default()
     });
+    let fast = target(Faults::default()).await;
+    let mut both = document(&[slow.address(), fast.address()]);
+    hedging(&mut both);
 
-    let mut hedged = false;
-    for number in 0..50 {
-        let token = format!("hedge-{number}");
-        let answer = entry.ask(get(&token)).await.expect("the entry answers");
-        assert!(answer.is_own(&token, ""), "{answer:?}");
-        hedged = entry.runs_of(&token).len() == 2;
-        if hedged {
-            break;
-        }
-    }
+    // The other target appears while the request waits for the slow one, so
+    // that the policy has no choice before.
+    let change = async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        entry.shelf.put(&both);
+        entry.ask(get("second")).await
+    };
+    let begin = Instant::now();
+    let first = async {
+        let answer = entry.ask(get("first")).await;
+        (answer, begin.elapsed())
+    };
+    let ((first, took), second) = tokio::join!(first, change);
 
-    assert!(hedged, "no request met the slow target");
+    let first = first.expect("the entry answers");
+    assert!(first.is_own("first", ""), "{first:?}");
+    assert!(took < Duration::from_millis(600), "{took:?}");
+    let second = second.expect("the entry answers");
+    assert!(second.is_own("second", ""), "{second:?}");
+    let hedges = fast.runs().into_iter();
+    let hedges = hedges.filter(|run| run.token.as_deref() == Some("first"));
+    assert_eq!(hedges.count(), 1);
     tokio::time::sleep(Duration::from_millis(50)).await;
-    assert_eq!(entry.targets[0].in_flight(), 0, "the loser was cancelled");
+    assert_eq!(slow.in_flight(), 0, "the loser was cancelled");
 }
 
 /// Guards against a post that is hedged.
