--- /dev/null
+++ b/crates/catalog/tests/all/standing.rs
@@ -0,0 +1,411 @@
+//! Guards against entries that serve with documents that may be outdated, and
+//! against entries that refuse without need.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use carobdrift_catalog::Standing;
+use carobdrift_membership::Confirmation;
+use carobdrift_test_support::platform::{Down, Fault};
+use carobdrift_test_support::relay::{Flow, Flows, Relay};
+use carobdrift_units::{Revision, Version};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::fixture::{
+    BOUND, Node, accept, cell, cut_peers, edit, list, set_down, sheets, stand_in, start_behind,
+    start_puppet, until,
+};
+
+/// Time that the scheduler may add to a bound.
+const SLACK: Duration = Duration::from_millis(150);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_off_entry_serves_only_while_it_can_know() {
+    let cases = [
+        ("from the store", true, false, "confirmed"),
+        ("from its peers", false, true, "confirmed"),
+        ("from both", true, true, "unconfirmed"),
+    ];
+    for (name, store, peers, expected) in cases {
+        let stand_in = stand_in().await;
+        let nodes = cell(&stand_in, 3).await;
+        accept(&nodes[0], edit("first", &sheets(), 0)).await;
+        let last = nodes.len() - 1;
+        until("first is in force", BOUND, || {
+            nodes[last].version(&sheets()) == Version(1)
+        })
+        .await;
+
+        if store {
+            nodes[last].cut_store();
+        }
+        if peers {
+            cut_peers(&nodes, last);
+        }
+        let cut = Instant::now();
+        sleep(Duration::from_millis(300)).await;
+        accept(&nodes[0], edit("second", &sheets(), 1)).await;
+        let accepted = Instant::now();
+
+        while cut.elapsed() < Duration::from_secs(8) {
+            let standing = nodes[last].catalog.standing();
+            let outdated = nodes[last].version(&sheets()) < Version(2);
+            let since = accepted.elapsed();
+            assert!(
+                !(standing.serves() && outdated && since > BOUND + SLACK),
+                "{name}: serves version 1 {since:?} after version 2 was accepted"
+            );
+            sleep(Duration::from_millis(10)).await;
+        }
+        let standing = nodes[last].catalog.standing();
+        assert_eq!(standing.name(), expected, "cut off {name}");
+        assert!(nodes[0].is_confirmed() && nodes[1].is_confirmed(), "{name}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_isolated_entry_is_unconfirmed_within_the_bound_and_returns() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    nodes[2].cut_store();
+    cut_peers(&nodes, 2);
+
+    let time = until("it is unconfirmed", BOUND + SLACK, || {
+        !nodes[2].catalog.standing().serves()
+    })
+    .await;
+
+    assert!(time > Duration::from_secs(2), "{time:?}");
+    let start = Instant::now();
+    let wait = Duration::from_millis(200);
+    let standing = nodes[2].catalog.confirm(wait).await;
+    assert_eq!(standing, Standing::Unconfirmed);
+    assert!(start.elapsed() < wait + SLACK);
+
+    nodes[2].store.set(Flows::default());
+    until("it is confirmed again", Duration::from_secs(4), || {
+        nodes[2].is_confirmed()
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_of_the_store_stops_no_entry() {
+    let mut checks = JoinSet::new();
+    for down in [Down::Refuse, Down::Fail, Down::Hang] {
+        checks.spawn(check_outage(down));
+    }
+    checks.join_all().await;
+}
+
+async fn check_outage(down: Down) {
+    let stand_in = stand_in().await;
+    // Enough for the last ranks to have the longest delay.
+    let nodes = cell(&stand_in, 13).await;
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    set_down(&stand_in, down).await;
+    let start = Instant::now();
+
+    while start.elapsed() < Duration::from_secs(9) {
+        for node in &nodes {
+            let elapsed = start.elapsed();
+            assert!(
+                node.catalog.standing().serves(),
+                "{down:?}: {} refuses after {elapsed:?}",
+                node.name
+            );
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    assert!(
+        nodes
+            .iter()
+            .all(|node| node.catalog.standing() == Standing::Outage),
+        "{down:?}"
+    );
+
+    set_down(&stand_in, Down::No).await;
+    until("all are confirmed", Duration::from_secs(4), || {
+        nodes.iter().all(Node::is_confirmed)
+    })
+    .await;
+    let accepted = accept(&nodes[1], edit("second", &sheets(), 1)).await;
+    assert_eq!(accepted.outcome.version, Version(2), "{down:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_minority_refuses_during_an_outage_of_the_store() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 5).await;
+    set_down(&stand_in, Down::Refuse).await;
+    until("all note the outage", Duration::from_secs(8), || {
+        nodes
+            .iter()
+            .all(|node| node.catalog.standing() == Standing::Outage)
+    })
+    .await;
+
+    // Entries 3 and 4 hear each other and nobody else.
+    for minority in [3, 4] {
+        for majority in 0..3 {
+            nodes[minority]
+                .peers
+                .set_for(&nodes[majority].name, Flows::CUT);
+            nodes[majority]
+                .peers
+                .set_for(&nodes[minority].name, Flows::CUT);
+        }
+    }
+    sleep(BOUND + SLACK).await;
+
+    for node in &nodes[..3] {
+        assert_eq!(node.catalog.standing(), Standing::Outage, "{}", node.name);
+    }
+    for node in &nodes[3..] {
+        assert_eq!(
+            node.catalog.standing(),
+            Standing::Unconfirmed,
+            "{}",
+            node.name
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn frames_that_were_held_up_confirm_from_the_ping_only() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    nodes[2].cut_store();
+    sleep(Duration::from_millis(1_200)).await;
+    assert!(nodes[2].is_confirmed());
+    let set = |back| {
+        for node in &nodes[..2] {
+            let forth = Flow::Silent;
+            node.peers.set_for(&nodes[2].name, Flows { forth, back });
+        }
+    };
+
+    // From now on no ping arrives, and pongs on their way are held up.
+    set(Flow::Stall);
+    let start = Instant::now();
+    sleep(Duration::from_millis(1_500)).await;
+    set(Flow::Pass);
+
+    while start.elapsed() < BOUND + SLACK {
+        if let Standing::Confirmed { age } = nodes[2].catalog.standing() {
+            let since = start.elapsed();
+            assert!(
+                age + SLACK >= since,
+                "{age:?} old, {since:?} after the last ping"
+            );
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert!(!nodes[2].catalog.standing().serves());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_entry_wakes_up_unconfirmed() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    until("first is in force", BOUND, || {
+        nodes[2].version(&sheets()) == Version(1)
+    })
+    .await;
+    nodes[2].pause(Duration::from_secs(7));
+    let start = Instant::now();
+    sleep(Duration::from_millis(100)).await;
+    let accepted = accept(&nodes[0], edit("second", &sheets(), 1)).await;
+    assert_eq!(accepted.in_force, 2);
+
+    let mut unconfirmed = false;
+    while start.elapsed() < Duration::from_secs(9) {
+        let standing = nodes[2].catalog.standing();
+        let version = nodes[2].version(&sheets());
+        let since = start.elapsed();
+        unconfirmed |= !standing.serves();
+        assert!(
+            !(standing.serves() && version < Version(2) && since > BOUND + SLACK),
+            "serves version 1 at {since:?}"
+        );
+        sleep(Duration::from_millis(1)).await;
+    }
+    assert!(unconfirmed);
+    assert!(nodes[2].is_confirmed());
+    assert_eq!(nodes[2].version(&sheets()), Version(2));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_was_paused_is_confirmed_within_200_ms() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    nodes[2].pause(Duration::from_secs(6));
+    sleep(Duration::from_millis(5_900)).await;
+    assert!(!nodes[2].catalog.standing().serves());
+    sleep(Duration::from_millis(100)).await;
+
+    let standing = nodes[2].catalog.confirm(Duration::from_millis(200)).await;
+
+    assert!(standing.serves());
+}
+
+/// What the two peers of an entry state while it can't reach the store.
+struct Statement {
+    name: &'static str,
+    /// Whether the entry was confirmed before the store became unreachable.
+    recovered: bool,
+    first: Confirmation,
+    second: Confirmation,
+    /// Whether the peers keep stating that they were just confirmed.
+    confirmed: bool,
+    expected: &'static str,
+}
+
+fn statements() -> Vec<Statement> {
+    let outage = Confirmation {
+        recovered: true,
+        ..Confirmation::default()
+    };
+    let case = Statement {
+        name: "all report an outage",
+        recovered: true,
+        first: outage,
+        second: outage,
+        confirmed: false,
+        expected: "outage",
+    };
+    let newer = Confirmation {
+        revision: Revision(1),
+        ..outage
+    };
+    let reachable = Confirmation {
+        store_reachable: true,
+        ..outage
+    };
+    let fresh = Confirmation::default();
+    vec![
+        Statement {
+            name: "one reaches the store",
+            second: reachable,
+            expected: "unconfirmed",
+            ..case
+        },
+        Statement {
+            name: "one knows a newer document",
+            second: newer,
+            expected: "unconfirmed",
+            ..case
+        },
+        Statement {
+            name: "one is fresh",
+            second: fresh,
+            ..case
+        },
+        Statement {
+            name: "both are fresh",
+            first: fresh,
+            second: fresh,
+            expected: "unconfirmed",
+            ..case
+        },
+        Statement {
+            name: "the entry is fresh",
+            recovered: false,
+            expected: "unconfirmed",
+            ..case
+        },
+        Statement {
+            name: "confirmed with the same document",
+            confirmed: true,
+            expected: "confirmed",
+            ..case
+        },
+        Statement {
+            name: "confirmed with a newer document",
+            first: newer,
+            second: newer,
+            confirmed: true,
+            expected: "unconfirmed",
+            ..case
+        },
+        case,
+    ]
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn statements_of_peers_decide_the_standing_without_the_store() {
+    let mut checks = JoinSet::new();
+    for case in statements() {
+        checks.spawn(check_statement(case));
+    }
+    checks.join_all().await;
+}
+
+async fn check_statement(case: Statement) {
+    let stand_in = stand_in().await;
+    let first = start_puppet(&stand_in, "first").await;
+    let second = start_puppet(&stand_in, "second").await;
+    let relay = Arc::new(Relay::bind().await.unwrap());
+    list(&stand_in, "entry-0", &relay);
+    until("both dial it", BOUND, || {
+        first.links.peers().len() == 2 && second.links.peers().len() == 2
+    })
+    .await;
+    if !case.recovered {
+        set_down(&stand_in, Down::Refuse).await;
+    }
+    let node = start_behind(&stand_in, "entry-0", relay).await;
+    let heard = || {
+        let peers = node.links.peers();
+        peers.iter().filter(|peer| peer.heard.is_some()).count()
+    };
+    until("it hears both", BOUND, || heard() == 2).await;
+    assert_eq!(node.links.cell_size(), 3);
+    if case.recovered {
+        until("it is confirmed", BOUND, || node.is_confirmed()).await;
+        set_down(&stand_in, Down::Refuse).await;
+    }
+    let state = || {
+        let at = case.confirmed.then(Instant::now);
+        let pairs = [(&first, case.first), (&second, case.second)];
+        for (puppet, confirmation) in pairs {
+            puppet
+                .links
+                .publish_confirmation(Confirmation { at, ..confirmation });
+        }
+    };
+
+    let start = Instant::now();
+    while start.elapsed() < BOUND + Duration::from_secs(1) {
+        state();
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    let standing = node.catalog.standing();
+    assert_eq!(standing.name(), case.expected, "{}", case.name);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_poll_confirms_from_its_sending() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 1).await;
+    let delay = Duration::from_millis(600);
+    let fault = Fault {
+        slow_ms: 600,
+        ..Fault::default()
+    };
+    stand_in.set_fault(fault).await;
+    sleep(Duration::from_millis(1_200)).await;
+
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        let standing = nodes[0].catalog.standing();
+        let Standing::Confirmed { age } = standing else {
+            panic!("{standing:?}")
+        };
+        assert!(age >= delay, "{age:?} old after a poll that took {delay:?}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod load;
 pub mod platform;
 pub mod process;
+pub mod relay;
 pub mod target;
