Connect the data path to the catalog and claims to the links

The catalog holds the documents and the standing that requests are served under, and the links carry claims to the entry that decides. Both stay behind small traits, so that the tests need no other entry.

--- a/crates/idempotency/src/peers.rs
+++ b/crates/idempotency/src/peers.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use carobdrift_membership::{Links, QueryError};
 use carobdrift_units::Instance;
 use carobdrift_wire::{Answer, Query};
 use thiserror::Error;
@@ -27,3 +28,19 @@
     /// Sends a query to a peer and waits at most `timeout` for its answer.
     fn query(&self, peer: &Instance, query: Query, timeout: Duration) -> Reply;
 }
+
+impl Peers for Links {
+    fn query(&self, peer: &Instance, query: Query, timeout: Duration) -> Reply {
+        let links = self.clone();
+        let peer = peer.clone();
+        Box::pin(async move {
+            let answer = Self::query(&links, &peer, query, timeout).await;
+            answer.map_err(|error| match error {
+                QueryError::NotConnected(_) | QueryError::QueueFull(_) | QueryError::Encode(_) => {
+                    PeerError::NotConnected
+                }
+                QueryError::TimedOut(_) | QueryError::Closed(_) => PeerError::NoAnswer,
+            })
+        })
+    }
+}
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -27,7 +27,7 @@
 use crate::keep::{self, Kept, keep};
 use crate::race::race;
 use crate::relay::{Cut, Relay};
-use crate::services::{Served, Services, Standing};
+use crate::services::{Served, Services};
 use crate::settings::Settings;
 use crate::solo::send_once;
 use crate::upload::{Intake, Upload};
@@ -169,7 +169,7 @@
             call,
             served,
         };
-        let serves = || self.services.documents().standing() == Standing::Serves;
+        let serves = || self.services.documents().standing().serves();
         let retries = admitted.retries_left;
         let (answer, dispatched) = match (route.kind, upload) {
             (Kind::Idempotent, Upload::Whole(body)) => {
@@ -208,8 +208,8 @@
     /// Waits a moment for a confirmation when there is none.
     async fn confirm(&self) -> Result<(), Failure> {
         let documents = self.services.documents();
-        let serves = documents.standing() == Standing::Serves
-            || documents.confirm(self.settings.confirm_wait).await == Standing::Serves;
+        let serves = documents.standing().serves()
+            || documents.confirm(self.settings.confirm_wait).await.serves();
         if serves {
             return Ok(());
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,5 +24,5 @@
 
 pub use listener::{Error, Listener};
 pub use metrics::Metrics;
-pub use services::{Documents, Held, Services, Standing, Wait};
+pub use services::{Documents, Services, Wait};
 pub use settings::Settings;
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -8,45 +8,43 @@
 use std::time::Duration;
 
 use carobdrift_balance::{Allowance, Local, Pool};
+use carobdrift_catalog::{Catalog, Held, Standing};
 use carobdrift_document::Document;
 use carobdrift_units::{Class, Service, Team, Version};
 
 use crate::metrics::{Latencies, Metrics};
 use crate::upstream::Upstream;
 
-/// A document in force.
-#[derive(Debug, Clone)]
-pub struct Held {
-    /// The document.
-    pub document: Arc<Document>,
-    /// Its version.
-    pub version: Version,
-}
-
-/// Whether this entry may serve.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
-    /// Its documents are known to be the newest ones.
-    Serves,
-    /// Newer documents may be in force elsewhere.
-    Unconfirmed,
-}
-
 /// A standing that is awaited.
 pub type Wait = Pin<Box<dyn Future<Output = Standing> + Send>>;
 
 /// The documents in force at this entry.
 pub trait Documents: fmt::Debug + Send + Sync {
     /// Document in force of a service.
-    fn held(&self, service: &Service) -> Option<Held>;
+    fn held(&self, service: &Service) -> Option<Arc<Held>>;
 
-    /// Whether this entry may serve now.
+    /// Whether calls may be dispatched now.
     fn standing(&self) -> Standing;
 
-    /// Waits at most `max_wait` until this entry may serve.
+    /// Waits at most `max_wait` until calls may be dispatched.
     fn confirm(&self, max_wait: Duration) -> Wait;
 }
 
+impl Documents for Catalog {
+    fn held(&self, service: &Service) -> Option<Arc<Held>> {
+        Self::held(self, service)
+    }
+
+    fn standing(&self) -> Standing {
+        Self::standing(self)
+    }
+
+    fn confirm(&self, max_wait: Duration) -> Wait {
+        let catalog = self.clone();
+        Box::pin(async move { Self::confirm(&catalog, max_wait).await })
+    }
+}
+
 /// Services in force; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Services {
@@ -143,7 +141,7 @@
                 return Some(Arc::clone(found));
             }
         }
-        Some(self.put(service, held))
+        Some(self.put(service, &held))
     }
 
     /// Closes connections that were idle for too long.
@@ -165,10 +163,11 @@
     }
 
     /// Puts a version in force unless a newer one is.
-    fn put(&self, service: &Service, held: Held) -> Arc<Served> {
+    fn put(&self, service: &Service, held: &Held) -> Arc<Served> {
         let core = &self.core;
         let mut served = core.served.write().unwrap_or_else(PoisonError::into_inner);
-        let Held { document, version } = held;
+        let document = Arc::clone(&held.document);
+        let version = held.version;
         let (pool, upstreams) = match served.get(service) {
             Some(found) if found.version >= version => return Arc::clone(found),
             Some(found) => {
--- a/crates/proxy/tests/all/outcomes.rs
+++ b/crates/proxy/tests/all/outcomes.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use carobdrift_proxy::Standing;
+use carobdrift_catalog::Standing;
 use carobdrift_test_support::target::{Faults, Reset};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
