Check standing and deadline again right before a request is sent

A request may wait for a slot or for a connection, or its process may be paused, after it was admitted. It was then sent by an outdated document or after its deadline, because a timeout lets its future run once even when it has expired. Retries now use fresh or proven connections only, as hedges do.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -16,13 +16,14 @@
 use crate::failure::{Failure, Outcome};
 use crate::fields;
 use crate::relay::{Hold, Relay};
-use crate::services::Served;
+use crate::services::{Served, Services};
 use crate::upload::{self, Upload};
 use crate::upstream::{Exchange, Freshness, OpenError, Upstream};
 
 /// A request that is ready to be sent to targets.
 #[derive(Debug)]
 pub(crate) struct Order {
+    pub(crate) services: Services,
     pub(crate) served: Arc<Served>,
     pub(crate) call: Call,
     pub(crate) method: Method,
@@ -60,6 +61,10 @@
     Broken(hyper::Error),
     #[error("the target gave no answer before the deadline")]
     TimedOut,
+    #[error("the deadline passed before the request was sent")]
+    TooLate,
+    #[error("this entry can't confirm that its documents are the newest ones")]
+    Unconfirmed,
     #[error("the target's response has no stated length")]
     Unframed,
     #[error("the response is larger than the service permits")]
@@ -88,7 +93,8 @@
             Cause::Open(_) => (StatusCode::BAD_GATEWAY, "no-connection"),
             Cause::Broken(_) | Cause::Unframed => (StatusCode::BAD_GATEWAY, "target-failed"),
             Cause::TooLarge => (StatusCode::BAD_GATEWAY, "response-too-large"),
-            Cause::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
+            Cause::TimedOut | Cause::TooLate => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
+            Cause::Unconfirmed => (StatusCode::SERVICE_UNAVAILABLE, "unconfirmed"),
             Cause::Upload(fault) => return Self::of_upload(*fault, failed.outcome),
         };
         Self::new(status, failed.outcome, reason, failed.cause.to_string())
@@ -161,6 +167,27 @@
         }
     }
 
+    /// Whether this entry may dispatch requests now.
+    pub(crate) fn serves(&self) -> bool {
+        self.services.documents().standing().serves()
+    }
+
+    /// Checks what may have changed while the request waited, such as by a
+    /// pause of the process.
+    fn check_dispatch(&self, now: Instant) -> Result<(), Failed> {
+        let cause = if now >= self.call.deadline {
+            Cause::TooLate
+        } else if self.serves() {
+            return Ok(());
+        } else {
+            Cause::Unconfirmed
+        };
+        Err(Failed {
+            outcome: Outcome::NotRun,
+            cause,
+        })
+    }
+
     /// Sends the request and waits for the head of its response. A reused
     /// connection that turns out to be closed before it took any byte is
     /// replaced by a fresh one.
@@ -172,6 +199,7 @@
     ) -> Result<Answer, Failed> {
         loop {
             let sent = Instant::now();
+            self.check_dispatch(sent)?;
             let _ = self.first_sent.set(sent);
             let request = self.request(upload, retries_left);
             let exchange = opened.exchange.send(request);
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -167,15 +167,15 @@
             upload: matches!(upload, Upload::Stream(_)).then_some(state),
             first_sent: OnceLock::new(),
             call,
+            services: self.services.clone(),
             served,
         };
-        let serves = || self.services.documents().standing().serves();
         let retries = admitted.retries_left;
         let (answer, dispatched) = match (route.kind, upload) {
             (Kind::Idempotent, Upload::Whole(body)) => {
-                (race(&order, body, slot, retries, serves).await?, None)
+                (race(&order, body, slot, retries).await?, None)
             }
-            (_, upload) => send_once(&order, upload, slot, retries, serves, grant).await?,
+            (_, upload) => send_once(&order, upload, slot, retries, grant).await?,
         };
         let waited = order.first_sent.get().map(Instant::elapsed);
         let Answer {
--- a/crates/proxy/src/race.rs
+++ b/crates/proxy/src/race.rs
@@ -26,7 +26,6 @@
     body: Bytes,
     first: Slot,
     retries_left: Option<u32>,
-    serves: impl Fn() -> bool,
 ) -> Result<Answer, Failure> {
     let pool = &order.served.pool;
     let call = &order.call;
@@ -52,7 +51,7 @@
     let mut fallback: Option<Answer> = None;
     loop {
         let mut another = |purpose: Purpose| -> Option<Slot> {
-            if !permitted || !serves() {
+            if !permitted || !order.serves() {
                 return None;
             }
             let slot = pool.try_another(call, purpose, &tried)?;
@@ -84,7 +83,7 @@
                     continue;
                 }
                 match another(Purpose::Retry) {
-                    Some(slot) => (slot, Freshness::Any),
+                    Some(slot) => (slot, Freshness::Proven),
                     None => return conclude(fallback, failed, outcome),
                 }
             }
--- a/crates/proxy/src/solo.rs
+++ b/crates/proxy/src/solo.rs
@@ -19,7 +19,6 @@
     upload: Upload,
     first: Slot,
     retries_left: Option<u32>,
-    serves: impl Fn() -> bool,
     grant: Option<Grant>,
 ) -> Result<(Answer, Option<Dispatched>), Failure> {
     let freshness = if order.is_idempotent() {
@@ -38,7 +37,7 @@
         let pool = &order.served.pool;
         let another = match retries_left {
             Some(0) => None,
-            _ if !serves() => None,
+            _ if !order.serves() => None,
             _ => pool.try_another(&order.call, Purpose::Retry, &tried),
         };
         match another {
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -10,4 +10,5 @@
 mod protocols;
 mod silence;
 mod speed;
+mod standing;
 mod stop;
