--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -27,7 +27,7 @@
 use crate::keep::{self, Kept, keep};
 use crate::race::race;
 use crate::relay::{Cut, Relay};
-use crate::services::{Served, Services, Standing};
+use crate::services::{Served, Services};
 use crate::settings::Settings;
 use crate::solo::send_once;
 use crate::upload::{Intake, Upload};
@@ -167,15 +167,15 @@
             upload: matches!(upload, Upload::Stream(_)).then_some(state),
             first_sent: OnceLock::new(),
             call,
+            services: self.services.clone(),
             served,
         };
-        let serves = || self.services.documents().standing() == Standing::Serves;
         let retries = admitted.retries_left;
         let (answer, dispatched) = match (route.kind, upload) {
             (Kind::Idempotent, Upload::Whole(body)) => {
-                (race(&order, body, slot, retries, serves).await?, None)
+                (race(&order, body, slot, retries).await?, None)
             }
-            (_, upload) => send_once(&order, upload, slot, retries, serves, grant).await?,
+            (_, upload) => send_once(&order, upload, slot, retries, grant).await?,
         };
         let waited = order.first_sent.get().map(Instant::elapsed);
         let Answer {
@@ -208,8 +208,8 @@
     /// Waits a moment for a confirmation when there is none.
     async fn confirm(&self) -> Result<(), Failure> {
         let documents = self.services.documents();
-        let serves = documents.standing() == Standing::Serves
-            || documents.confirm(self.settings.confirm_wait).await == Standing::Serves;
+        let serves = documents.standing().serves()
+            || documents.confirm(self.settings.confirm_wait).await.serves();
         if serves {
             return Ok(());
         }
--- a/crates/test-support/src/target/serve.rs
+++ b/crates/test-support/src/target/serve.rs
@@ -299,6 +299,13 @@
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
 
+/// Sleeps, but not at all for no time: the timer rounds up to a millisecond.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 fn draw_start() -> String {
     format!("{:016x}", rand::random::<u64>())
 }
