--- a/crates/test-support/src/target/serve.rs
+++ b/crates/test-support/src/target/serve.rs
@@ -252,14 +252,6 @@
     }
 }
 
-/// Sleeps, but not at all for no time: the timer rounds up to its tick, which
-/// would add a millisecond to every response.
-async fn pause(length: Duration) {
-    if !length.is_zero() {
-        tokio::time::sleep(length).await;
-    }
-}
-
 /// The request's token, a line feed and the request's body, repeated up to the
 /// requested size.
 fn payload(headers: &HeaderMap, body: &Bytes) -> Bytes {
