--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -22,11 +22,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use crate::documents::Documents;
 use crate::error::Error;
 use crate::inbox::Inbox;
 use crate::measuring::Measuring;
-use crate::peers::Peers;
 use crate::settings::{Secret, Settings};
 use crate::statement;
 use crate::subjects;
@@ -102,7 +100,7 @@
         let (local, departures) = open_local(&settings);
         let teams = open_teams(&settings);
         let services = Services::open(
-            Arc::new(Documents(catalog.clone())),
+            Arc::new(catalog.clone()),
             local,
             teams.clone(),
             carobdrift_balance::Metrics::register(&registry)?,
@@ -111,7 +109,7 @@
         let claims = Claims::open(
             claim_settings(&settings),
             ledger.clone(),
-            Arc::new(Peers(links.clone())),
+            Arc::new(links.clone()),
             client.clone(),
             &registry,
         )?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,12 +1,10 @@
 //! One running entry: settings, start order, signals and stop.
 
-mod documents;
 mod entry;
 mod error;
 mod inbox;
 mod logging;
 mod measuring;
-mod peers;
 mod settings;
 mod statement;
 mod subjects;
