Issue idempotency keys that the caller's own entry decides on

A caller asks any entry for addresses and sends to the first one of the answer. Its keys were issued by the entry that it had asked, so nearly every claim went over a link to that entry, and a cut between the two refused calls that only one of them was needed for. Entries now state the clock of their ledger in the heartbeat, and the answering entry issues the prefix as of that moment on behalf of the first address. The moment lies in the decider's past, so its keys only expire a little earlier; the nonce keeps callers apart whoever draws it.

--- a/crates/admin/src/backend.rs
+++ b/crates/admin/src/backend.rs
@@ -30,7 +30,10 @@
     fn targets(&self, service: &Service) -> Option<Vec<TargetView>>;
 
     /// Issues a prefix for idempotency keys.
-    fn key_prefix(&self) -> String;
+    ///
+    /// `decider` is the entry that decides on its keys, this one or a peer;
+    /// `None` when it is not known well enough.
+    fn key_prefix(&self, decider: &Instance) -> Option<String>;
 
     /// Versions that the document of a service has had, the one in force last.
     fn history(&self, service: &Service) -> Vec<Version>;
--- a/crates/admin/src/discovery.rs
+++ b/crates/admin/src/discovery.rs
@@ -49,8 +49,8 @@
     /// their order.
     preferred: usize,
     addresses: Vec<Destination>,
-    /// Prefix for idempotency keys; absent while this instance is leaving,
-    /// because its keys can't be claimed once it is gone.
+    /// Prefix for idempotency keys, which the entry of the first address decides
+    /// on; absent while that entry is not known well enough.
     key_prefix: Option<String>,
 }
 
@@ -96,13 +96,15 @@
         let message = "no entry that this instance hears is ready";
         return Err(Refusal::new(Kind::Unavailable, message));
     }
-    let leaving = backend.itself().leaving;
+    // Callers send to the first address, so its entry decides on their keys
+    // without asking another one.
+    let key_prefix = backend.key_prefix(&addresses[0].instance);
     Ok(HttpResponseOk(Answer {
         service,
         ttl_ms: steering.ttl_ms,
         preferred: order.preferred,
         addresses,
-        key_prefix: (!leaving).then(|| backend.key_prefix()),
+        key_prefix,
     }))
 }
 
--- a/crates/admin/src/live.rs
+++ b/crates/admin/src/live.rs
@@ -5,10 +5,10 @@
 
 use carobdrift_balance::{Pool, TargetView};
 use carobdrift_catalog::{Accepted, Catalog, Documents, Edit, EditError, Outcome, Standing};
-use carobdrift_idempotency::Ledger;
+use carobdrift_idempotency::{Ledger, Prefix};
 use carobdrift_membership::{Links, Peer};
 use carobdrift_platform::Error;
-use carobdrift_units::{EditId, Instance, Service, Version};
+use carobdrift_units::{EditId, Instance, Millis, Service, Version};
 use carobdrift_wire::{Answer, Query};
 use futures_util::future::{BoxFuture, join_all};
 
@@ -115,8 +115,23 @@
         (self.pools)(service).map(|pool| pool.view())
     }
 
-    fn key_prefix(&self) -> String {
-        self.ledger.prefix().to_string()
+    fn key_prefix(&self, decider: &Instance) -> Option<String> {
+        if decider == self.ledger.instance() {
+            return Some(self.ledger.prefix().to_string());
+        }
+        let peers = self.links.peers();
+        let peer = peers.into_iter().find(|peer| peer.instance == *decider)?;
+        let issued = peer.status?.ledger;
+        // The moment of issue lies in the past of the decider, so its keys only
+        // expire a little earlier than its own would.
+        (issued > Millis(0)).then_some(())?;
+        let prefix = Prefix {
+            instance: peer.instance,
+            incarnation: peer.incarnation?,
+            issued_ms: issued.0,
+            nonce: rand::random(),
+        };
+        Some(prefix.to_string())
     }
 
     fn history(&self, service: &Service) -> Vec<Version> {
--- a/crates/admin/tests/all/addresses.rs
+++ b/crates/admin/tests/all/addresses.rs
@@ -80,7 +80,7 @@
 }
 
 #[tokio::test]
-async fn leaving_entry_names_the_others_and_issues_no_key_prefix() {
+async fn leaving_entry_names_the_others_and_issues_keys_of_the_first() {
     let fixture = Fixture::start();
     let (_, before) = fixture.get(PATH, None).await;
     fixture.backend.change(|state| {
@@ -90,8 +90,10 @@
 
     let (_, answer) = fixture.get(PATH, None).await;
 
-    assert_eq!(before["key_prefix"], json!("cd1.prefix"));
-    assert_eq!(answer["key_prefix"], json!(null));
+    assert_eq!(before["key_prefix"], json!("cd1.entry-1"));
+    let first = answer["addresses"][0]["instance"].as_str().unwrap();
+    assert_ne!(first, "entry-1");
+    assert_eq!(answer["key_prefix"], json!(format!("cd1.{first}")));
     assert_eq!(answer["ttl_ms"], json!(5000));
     let addresses = answer["addresses"].as_array().unwrap();
     assert!(addresses.iter().all(|a| a["instance"] != json!("entry-1")));
--- a/crates/admin/tests/all/fixture.rs
+++ b/crates/admin/tests/all/fixture.rs
@@ -10,7 +10,7 @@
 use carobdrift_catalog::{Accepted, Documents, Edit, EditError, Held, Outcome, Standing};
 use carobdrift_document::{Ceilings, Document};
 use carobdrift_platform::{Cause, Error};
-use carobdrift_units::{EditId, PerSecond, Revision, Service, Version};
+use carobdrift_units::{EditId, Instance, PerSecond, Revision, Service, Version};
 use carobdrift_wire::{Rate, Status};
 use futures_util::future::{BoxFuture, ready};
 use http::{Method, Request, StatusCode};
@@ -167,8 +167,8 @@
         }])
     }
 
-    fn key_prefix(&self) -> String {
-        "cd1.prefix".to_owned()
+    fn key_prefix(&self, decider: &Instance) -> Option<String> {
+        Some(format!("cd1.{decider}"))
     }
 
     fn edit(&self, edit: Edit) -> BoxFuture<'_, Result<Accepted, EditError>> {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -99,13 +99,7 @@
         let ledger = open_ledger(&settings, incarnation);
         let (local, departures) = open_local(&settings);
         let teams = open_teams(&settings);
-        let services = Services::open(
-            Arc::new(catalog.clone()),
-            local,
-            teams.clone(),
-            carobdrift_balance::Metrics::register(&registry)?,
-            carobdrift_proxy::Metrics::register(&registry)?,
-        );
+        let services = open_services(&catalog, local, teams.clone(), &registry)?;
         let claims = Claims::open(
             claim_settings(&settings),
             ledger.clone(),
@@ -136,6 +130,7 @@
         statement::Parts {
             links: links.clone(),
             catalog: catalog.clone(),
+            ledger: ledger.clone(),
             services: services.clone(),
             subjects,
             teams: teams.into_values().collect(),
@@ -274,6 +269,23 @@
     (local, departures)
 }
 
+fn open_services(
+    catalog: &Catalog,
+    local: Local,
+    teams: BTreeMap<Team, Allowance>,
+    registry: &Registry,
+) -> Result<Services, Error> {
+    let balance = carobdrift_balance::Metrics::register(registry)?;
+    let proxy = carobdrift_proxy::Metrics::register(registry)?;
+    Ok(Services::open(
+        Arc::new(catalog.clone()),
+        local,
+        teams,
+        balance,
+        proxy,
+    ))
+}
+
 fn open_ledger(settings: &Settings, incarnation: Incarnation) -> Ledger {
     let limits = carobdrift_idempotency::Limits {
         lifetime: settings.keys.lifetime_ms.duration(),
--- a/crates/entry/src/statement.rs
+++ b/crates/entry/src/statement.rs
@@ -7,6 +7,7 @@
 
 use carobdrift_balance::Allowance;
 use carobdrift_catalog::{Catalog, Standing};
+use carobdrift_idempotency::Ledger;
 use carobdrift_measure::Subjects;
 use carobdrift_membership::{Links, Serving};
 use carobdrift_proxy::Services;
@@ -30,6 +31,7 @@
 pub(crate) struct Parts {
     pub(crate) links: Links,
     pub(crate) catalog: Catalog,
+    pub(crate) ledger: Ledger,
     pub(crate) services: Services,
     pub(crate) subjects: Subjects,
     pub(crate) teams: Vec<Allowance>,
@@ -57,6 +59,7 @@
                 self.links.publish(Serving {
                     ready: standing.serves() && !leaving,
                     leaving,
+                    ledger: self.ledger.clock(),
                     rates: rates.busiest(),
                 });
             }
--- a/crates/idempotency/src/ledger.rs
+++ b/crates/idempotency/src/ledger.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use carobdrift_units::{ByteSize, Incarnation, Instance};
+use carobdrift_units::{ByteSize, Incarnation, Instance, Millis};
 use carobdrift_wire::{Answer, Attempt, Decision, Fingerprint, Key, Query, Recorded};
 use tokio::time::Instant;
 
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Time since the start of the ledger, by which keys are dated.
+    #[must_use]
+    pub fn clock(&self) -> Millis {
+        Millis(self.now_ms())
+    }
+
     /// The entry that this ledger belongs to.
     #[must_use]
     pub fn instance(&self) -> &Instance {
--- a/crates/membership/src/status.rs
+++ b/crates/membership/src/status.rs
@@ -26,6 +26,9 @@
     pub ready: bool,
     /// Whether the entry is leaving.
     pub leaving: bool,
+    /// Time since the start of the entry's ledger; 0 when nobody may issue keys
+    /// on behalf of the entry.
+    pub ledger: Millis,
     /// Call rates of the busiest services.
     pub rates: Vec<Rate>,
 }
@@ -43,6 +46,7 @@
         store_reachable: confirmation.store_reachable,
         recovered: confirmation.recovered,
         cell_size,
+        ledger: serving.ledger,
         ready: serving.ready,
         leaving: serving.leaving,
         rates: serving.rates.clone(),
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -23,6 +23,10 @@
     /// Entries of the cell on the latest instance list that the entry read; 0
     /// when it has read none.
     pub cell_size: u32,
+    /// Time since the start of the entry's ledger when the status was last
+    /// stated; 0 when it states none. Peers issue prefixes of idempotency keys
+    /// as of that moment on behalf of the entry.
+    pub ledger: Millis,
     /// Whether the entry takes calls.
     pub ready: bool,
     /// Whether the entry is leaving.
--- a/crates/wire/tests/all/codec.rs
+++ b/crates/wire/tests/all/codec.rs
@@ -16,6 +16,7 @@
                 store_reachable: true,
                 recovered: true,
                 cell_size: 15,
+                ledger: Millis(5_000),
                 ready: true,
                 leaving: false,
                 rates: Vec::new(),
