--- a/crates/catalog/tests/all/edit.rs
+++ b/crates/catalog/tests/all/edit.rs
@@ -5,9 +5,12 @@
 
 use carobdrift_catalog::EditError;
 use carobdrift_test_support::platform::{Down, Fault, Lose};
+use carobdrift_test_support::relay::{Flow, Flows};
 use carobdrift_units::{Revision, Service, Version};
 
-use crate::fixture::{BOUND, accept, cell, cut_peers, edit, set_down, sheets, stand_in, until};
+use crate::fixture::{
+    BOUND, accept, cell, client, cut_peers, edit, set_down, sheets, stand_in, until,
+};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_of_two_racing_operators_wins() {
@@ -268,39 +271,61 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn past_versions_outlast_an_outage_of_the_object_store() {
+async fn past_versions_can_be_read_on_every_entry() {
     let stand_in = stand_in().await;
     let nodes = cell(&stand_in, 3).await;
-    accept(&nodes[0], edit("first", &sheets(), 0)).await;
-    // The object is written after the edit was accepted; lost responses and
-    // the outage make that write fail at least once.
-    stand_in
-        .set_fault(Fault {
-            lose_writes: Lose::All,
-            ..Fault::default()
-        })
-        .await;
-    accept(&nodes[0], edit("second", &sheets(), 1)).await;
-    set_down(&stand_in, Down::Refuse).await;
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    set_down(&stand_in, Down::No).await;
-    accept(&nodes[1], edit("third", &sheets(), 2)).await;
+    for (version, id) in ["first", "second", "third"].into_iter().enumerate() {
+        accept(&nodes[version], edit(id, &sheets(), version as u64)).await;
+    }
+    until("third is in force", BOUND, || {
+        nodes[2].version(&sheets()) == Version(3)
+    })
+    .await;
 
-    assert_eq!(
-        nodes[2].catalog.history(&sheets()),
-        [Version(1), Version(2), Version(3)]
-    );
-    for (version, id) in [(1, "first"), (2, "second"), (3, "third")] {
+    let versions = nodes[2].catalog.history(&sheets());
+    assert_eq!(versions, [Version(1), Version(2), Version(3)]);
+    for (version, id) in versions.into_iter().zip(["first", "second", "third"]) {
+        let body = nodes[2].catalog.body(&sheets(), version).await.unwrap();
         let path = format!("/{id}/*");
-        let deadline = Instant::now() + Duration::from_secs(8);
-        loop {
-            let body = nodes[2].catalog.body(&sheets(), Version(version)).await;
-            if let Ok(Some(body)) = body {
-                assert!(body.contains(&path), "version {version}: {body}");
-                break;
-            }
-            assert!(Instant::now() < deadline, "version {version} is lost");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
+        assert!(body.is_some_and(|body| body.contains(&path)), "{version}");
+    }
+    let absent = nodes[2].catalog.body(&sheets(), Version(4)).await.unwrap();
+    assert_eq!(absent, None);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_outlasts_an_outage_of_the_object_store() {
+    let stand_in = stand_in().await;
+    let nodes = cell(&stand_in, 3).await;
+    // Two reads in a row, then the transaction from 800 to 1,200 ms.
+    let fault = Fault {
+        slow_ms: 400,
+        ..Fault::default()
+    };
+    stand_in.set_fault(fault).await;
+    let catalog = nodes[0].catalog.clone();
+    let running = tokio::spawn(async move { catalog.edit(edit("first", &sheets(), 0)).await });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    // The transaction was received and its response passes; the object that
+    // is written next does not arrive.
+    nodes[0].store.set(Flows {
+        forth: Flow::Silent,
+        back: Flow::Pass,
+    });
+    running.await.unwrap().unwrap();
+    let client = client(&stand_in);
+    let body = client.get_object("history/sheets/1").await.unwrap();
+    assert_eq!(body, None);
+
+    nodes[0].store.set(Flows::default());
+    let deadline = Instant::now() + Duration::from_secs(8);
+    while client
+        .get_object("history/sheets/1")
+        .await
+        .unwrap()
+        .is_none()
+    {
+        assert!(Instant::now() < deadline, "the body is lost");
     }
 }
--- a/crates/catalog/tests/all/fixture.rs
+++ b/crates/catalog/tests/all/fixture.rs
@@ -1,7 +1,7 @@
 //! Entries that hold documents, each on a runtime of its own so that it can be
 //! paused, and behind relays so that it can be cut off.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use carobdrift_catalog::{Accepted, Catalog, Edit, EditError, Metrics, Standing};
@@ -10,8 +10,8 @@
 use carobdrift_platform::Client;
 use carobdrift_test_support::platform::{self, Down, Fault, Listing, StandIn};
 use carobdrift_test_support::relay::{Flows, Relay};
-use carobdrift_units::{Incarnation, Instance, Service, Version};
-use carobdrift_wire::Frame;
+use carobdrift_units::{Incarnation, Instance, Revision, Service, Version};
+use carobdrift_wire::{Answer, Copy, Frame, Query};
 use prometheus::Registry;
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
@@ -125,10 +125,12 @@
     }
 }
 
-/// A peer that states what the test wants and answers no query.
+/// A peer that states what the test wants and announces nothing.
 pub(crate) struct Puppet {
     pub(crate) links: Links,
-    _inbox: Inbox,
+    /// The document that it answers queries with; without one it does not
+    /// answer.
+    pub(crate) copy: Arc<Mutex<Option<Copy>>>,
     _relay: Relay,
 }
 
@@ -138,19 +140,48 @@
     list(stand_in, name, &relay);
     let settings = settings(name, &relay);
     relay.set_target(settings.listen);
-    let client = Client::open(carobdrift_platform::Settings {
-        address: stand_in.address(),
-        timeout: Duration::from_secs(1),
-    });
     let metrics = LinkMetrics::register(&Registry::new()).unwrap();
-    let (links, inbox) = Links::bind(settings, client, metrics).await.unwrap();
+    let (links, inbox) = Links::bind(settings, client(stand_in), metrics)
+        .await
+        .unwrap();
+    let copy = Arc::new(Mutex::new(None));
+    tokio::spawn(show(Arc::clone(&copy), inbox));
     Puppet {
         links,
-        _inbox: inbox,
+        copy,
         _relay: relay,
     }
 }
 
+/// Answers queries with the one document that a puppet shows.
+async fn show(copy: Arc<Mutex<Option<Copy>>>, mut inbox: Inbox) {
+    while let Some(inbound) = inbox.recv().await {
+        let copy = copy.lock().unwrap().clone();
+        let (Frame::Query { query, .. }, Some(copy)) = (inbound.frame, copy) else {
+            continue;
+        };
+        let answer = match query {
+            Query::Document { .. } => Answer::Document(Some(copy)),
+            Query::Versions => Answer::Versions {
+                revision: Revision(copy.version.0),
+                versions: vec![(copy.service, copy.version)],
+                unreadable: Vec::new(),
+                current: true,
+            },
+            _ => continue,
+        };
+        inbound.reply.unwrap().send(answer);
+    }
+}
+
+/// A client of the platform that no relay cuts off.
+pub(crate) fn client(stand_in: &StandIn) -> Client {
+    Client::open(carobdrift_platform::Settings {
+        address: stand_in.address(),
+        timeout: Duration::from_secs(1),
+    })
+}
+
 /// Puts an entry on the instance list.
 pub(crate) fn list(stand_in: &StandIn, name: &str, peers: &Relay) {
     let unused = "127.0.0.1:9".parse().unwrap();
--- a/crates/catalog/tests/all/propagation.rs
+++ b/crates/catalog/tests/all/propagation.rs
@@ -111,6 +111,7 @@
             revision: Revision(1),
         },
     );
+    assert_eq!(nodes[1].version(&sheets()), Version(2));
     // A row that is older than what is in force, as from a restored backup.
     let row = stand_in.row("changes/main").unwrap();
     stand_in.put_row(
--- a/crates/catalog/tests/all/recovery.rs
+++ b/crates/catalog/tests/all/recovery.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use carobdrift_catalog::Standing;
+use carobdrift_membership::Confirmation;
 use carobdrift_test_support::platform::{Down, StandIn};
 use carobdrift_units::{Revision, Service, Version};
-use carobdrift_wire::{Answer, Query};
+use carobdrift_wire::{Answer, Copy, Query};
 use serde_json::json;
 
 use crate::fixture::{
     BOUND, Node, accept, cell, document, edit, id, set_down, sheets, stand_in, start, start_behind,
-    until,
+    start_puppet, until,
 };
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -77,6 +78,49 @@
     .await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_document_that_only_a_peer_has_is_fetched_during_an_outage() {
+    let stand_in = stand_in().await;
+    let puppet = start_puppet(&stand_in, "puppet").await;
+    let node = start(&stand_in, "entry-0").await;
+    let state = |revision| {
+        puppet.links.publish_confirmation(Confirmation {
+            revision: Revision(revision),
+            recovered: true,
+            ..Confirmation::default()
+        });
+    };
+    state(0);
+    until("it is confirmed", BOUND, || node.is_confirmed()).await;
+    set_down(&stand_in, Down::Refuse).await;
+    until("it notes the outage", Duration::from_secs(8), || {
+        node.catalog.standing() == Standing::Outage
+    })
+    .await;
+
+    for revision in 1..=4 {
+        *puppet.copy.lock().unwrap() = Some(Copy {
+            service: sheets(),
+            version: Version(revision),
+            body: document(&sheets(), "/a").to_string(),
+        });
+        state(revision);
+
+        // A pong within 500 ms, and a little later the document. Polls, which
+        // also lead to it, are up to 2.4 s apart in a long outage.
+        let limit = Duration::from_millis(1_400);
+        until("it is fetched", limit, || {
+            node.version(&sheets()) == Version(revision)
+        })
+        .await;
+        until("it serves again", limit, || {
+            node.catalog.standing() == Standing::Outage
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(300 * revision)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_gap_in_the_change_log_is_closed_by_a_scan() {
     let stand_in = stand_in().await;
--- a/crates/catalog/tests/all/standing.rs
+++ b/crates/catalog/tests/all/standing.rs
@@ -179,22 +179,24 @@
     nodes[2].cut_store();
     sleep(Duration::from_millis(1_200)).await;
     assert!(nodes[2].is_confirmed());
-    let set = |back| {
+    let set = |forth, back| {
         for node in &nodes[..2] {
-            let forth = Flow::Silent;
             node.peers.set_for(&nodes[2].name, Flows { forth, back });
         }
     };
 
-    // From now on no ping arrives, and pongs on their way are held up.
-    set(Flow::Stall);
-    let start = Instant::now();
-    sleep(Duration::from_millis(1_500)).await;
-    set(Flow::Pass);
+    // Pings are answered, and the pongs are held up.
+    set(Flow::Pass, Flow::Stall);
+    sleep(Duration::from_millis(700)).await;
+    // From now on no ping arrives.
+    set(Flow::Silent, Flow::Stall);
+    let last_ping = Instant::now();
+    sleep(Duration::from_millis(900)).await;
+    set(Flow::Silent, Flow::Pass);
 
-    while start.elapsed() < BOUND + SLACK {
+    while last_ping.elapsed() < BOUND + SLACK {
         if let Standing::Confirmed { age } = nodes[2].catalog.standing() {
-            let since = start.elapsed();
+            let since = last_ping.elapsed();
             assert!(
                 age + SLACK >= since,
                 "{age:?} old, {since:?} after the last ping"
