--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -1,1 +1,11 @@
 //! Stand-ins for the platform and for targets, and fixtures for tests.
+//!
+//! Nothing that ships depends on this package.
+
+pub mod caller;
+pub mod fleet;
+pub mod load;
+pub mod platform;
+pub mod process;
+pub mod relay;
+pub mod target;
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -5,6 +5,10 @@
 
 /// State of an entry as carried by pings and pongs.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 pub struct Status {
     /// Newest position of the change log that the entry has in force.
     pub revision: Revision,
@@ -13,6 +17,12 @@
     pub confirmed: Option<Millis>,
     /// Whether the entry's last call to the table service succeeded.
     pub store_reachable: bool,
+    /// Whether the entry held every accepted document at some moment since its
+    /// start. Until then its revision says nothing about what was accepted.
+    pub recovered: bool,
+    /// Entries of the cell on the latest instance list that the entry read; 0
+    /// when it has read none.
+    pub cell_size: u32,
     /// Whether the entry takes calls.
     pub ready: bool,
     /// Whether the entry is leaving.
