State the document version with a leaving mark

A peer may have a document version in force that this entry lacks. Its mark was taken as older than that version, so adopting the version brought the leaving target back; a repeated frame could also undo a return that an operator had asked for. Marks and Leaving frames carry the version at the source now. Local evidence uses the version in force here.

The new test fails in both respects without the version. Grants near the largest number could also overflow the sum of a share; it saturates.

--- a/crates/balance/src/allowance.rs
+++ b/crates/balance/src/allowance.rs
@@ -138,8 +138,12 @@
         let grant = grant.map(|(share, _)| share).unwrap_or_default();
         let fixed = |limit: u32| limit / 2 / self.max_entries;
         Share {
-            in_flight: (fixed(max_in_flight) + grant.in_flight).min(max_in_flight),
-            per_second: (fixed(max_per_second) + grant.per_second).min(max_per_second),
+            in_flight: fixed(max_in_flight)
+                .saturating_add(grant.in_flight)
+                .min(max_in_flight),
+            per_second: fixed(max_per_second)
+                .saturating_add(grant.per_second)
+                .min(max_per_second),
         }
     }
 }
--- a/crates/balance/src/observation.rs
+++ b/crates/balance/src/observation.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use carobdrift_units::{Service, Target};
+use carobdrift_units::{Service, Target, Version};
 
 /// Result of one attempt, stated when its slot is given back.
 #[derive(Debug, Clone)]
@@ -103,4 +103,6 @@
     pub evidence: Evidence,
     /// Start id of the target's process, when known.
     pub start: Option<String>,
+    /// Document version in force when that was seen.
+    pub version: Version,
 }
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -175,7 +175,22 @@
     /// evidence counts and is sent to [`Local::departures`].
     pub fn mark_leaving(&self, target: &Target, evidence: Evidence, start: Option<&str>) {
         self.shared.change(|state, now, effects| {
-            state.mark_leaving(target, evidence, start, now, effects);
+            state.mark_leaving(target, evidence, start, None, now, effects);
+        });
+    }
+
+    /// Marks a target as leaving on the word of a peer. `seen` is the document
+    /// version that was in force there: the peer may be ahead of this entry, and
+    /// adopting what it already had must not bring the target back.
+    pub fn mark_leaving_at(
+        &self,
+        target: &Target,
+        evidence: Evidence,
+        start: Option<&str>,
+        seen: Version,
+    ) {
+        self.shared.change(|state, now, effects| {
+            state.mark_leaving(target, evidence, start, Some(seen), now, effects);
         });
     }
 
@@ -212,7 +227,14 @@
                 }
             }
             if sample.draining {
-                state.mark_leaving(&sample.target, Evidence::Response, start, now, effects);
+                state.mark_leaving(
+                    &sample.target,
+                    Evidence::Response,
+                    start,
+                    None,
+                    now,
+                    effects,
+                );
             }
         });
     }
--- a/crates/balance/src/state.rs
+++ b/crates/balance/src/state.rs
@@ -148,6 +148,7 @@
                     target: endpoint.id.clone(),
                     evidence: Evidence::Document,
                     start: node.tenure.start().map(str::to_owned),
+                    version: self.version,
                 });
             }
         }
@@ -187,7 +188,7 @@
             node.learn_start(start, now);
         }
         if report.draining {
-            self.mark_leaving(&target, Evidence::Response, start, now, effects);
+            self.mark_leaving(&target, Evidence::Response, start, None, now, effects);
         }
     }
 
@@ -240,16 +241,18 @@
         }
     }
 
-    /// Marks a target as leaving.
+    /// Marks a target as leaving. `seen` is the document version in force where
+    /// that was seen, when it was not here.
     pub(crate) fn mark_leaving(
         &mut self,
         target: &Target,
         evidence: Evidence,
         start: Option<&str>,
+        seen: Option<Version>,
         now: Instant,
         effects: &mut Effects,
     ) {
-        let version = self.version;
+        let version = seen.unwrap_or(self.version);
         let Some(node) = self.node_mut(target) else {
             return;
         };
@@ -270,6 +273,7 @@
             target: target.clone(),
             evidence,
             start,
+            version,
         });
         self.enforce_ejection_cap(now);
     }
--- a/crates/balance/src/tenure.rs
+++ b/crates/balance/src/tenure.rs
@@ -16,12 +16,14 @@
     start: Option<String>,
     past: VecDeque<String>,
     mark: Option<Mark>,
+    /// Document version that brought the target back last.
+    returned: Version,
 }
 
 #[derive(Debug)]
 struct Mark {
     evidence: Evidence,
-    /// Document version in force when the mark was made.
+    /// Newest document version in force where the target was seen to leave.
     version: Version,
 }
 
@@ -50,10 +52,15 @@
         self.past.iter().any(|past| past == start)
     }
 
-    /// Marks the target as leaving; returns whether the mark is new. The first
-    /// evidence counts.
+    /// Marks the target as leaving, as seen while `version` was in force;
+    /// returns whether the mark is new. The first evidence counts. What was
+    /// seen before the version that brought the target back is ignored.
     pub(crate) fn mark(&mut self, evidence: Evidence, version: Version) -> bool {
-        if self.mark.is_some() {
+        if version < self.returned {
+            return false;
+        }
+        if let Some(mark) = &mut self.mark {
+            mark.version = mark.version.max(version);
             return false;
         }
         self.mark = Some(Mark { evidence, version });
@@ -92,6 +99,7 @@
             .is_some_and(|mark| version > mark.version)
         {
             self.mark = None;
+            self.returned = version;
             return true;
         }
         false
--- a/crates/balance/tests/all/budget.rs
+++ b/crates/balance/tests/all/budget.rs
@@ -1,8 +1,12 @@
 //! Budgets for retries and hedges.
 
+use std::time::Duration;
+
 use carobdrift_balance::{Outcome, Pool, Purpose};
 use carobdrift_document::{Kind, Policy};
 
+use tokio::time::Instant;
+
 use crate::fixture::{self, call, end, take};
 
 /// Attempts that the budget admits over `calls` calls, when each call asks
@@ -120,6 +124,49 @@
     assert_eq!(delay.as_millis(), 50);
 }
 
+/// Fails when a hedge comes before its delay, on the same target, or is given
+/// up because no slot was free at that moment.
+#[tokio::test(start_paused = true)]
+async fn a_hedge_waits_for_its_delay_and_for_a_slot() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 2, 1));
+    fixture::warm(&pool, 2).await;
+    let [first, other] = [take(&pool).await, take(&pool).await];
+    let tried = [first.target().clone()];
+    let delay = pool.hedge_delay(&call(400)).expect("there are samples");
+    let begin = Instant::now();
+    tokio::spawn(async move {
+        fixture::pass(30).await;
+        end(other, Outcome::Success);
+    });
+
+    let hedge = pool
+        .hedge(&call(400), &tried)
+        .await
+        .expect("a slot comes free");
+
+    assert!(delay < Duration::from_millis(20));
+    let range = Duration::from_millis(30)..=Duration::from_millis(34);
+    assert!(range.contains(&begin.elapsed()), "{:?}", begin.elapsed());
+    assert_ne!(hedge.target(), first.target());
+}
+
+/// Fails when a hedge that won leaves no trace of the slow attempt, so that the
+/// delay sinks with every hedge.
+#[tokio::test(start_paused = true)]
+async fn slow_attempts_that_lost_keep_the_delay_up() {
+    let pool = fixture::open(fixture::document(Policy::Adaptive, 2, 1));
+    fixture::warm(&pool, 2).await;
+    for _ in 0..20 {
+        let slow = take(&pool).await;
+        fixture::pass(40).await;
+        drop(slow);
+    }
+
+    let delay = pool.hedge_delay(&call(400)).expect("there are samples");
+
+    assert!(delay >= Duration::from_millis(39), "{delay:?}");
+}
+
 /// Fails when a reconnect goes to another target while its own is usable.
 #[tokio::test(start_paused = true)]
 async fn a_reconnect_stays_on_its_target() {
--- a/crates/balance/tests/all/drain.rs
+++ b/crates/balance/tests/all/drain.rs
@@ -99,6 +99,7 @@
         target: target(0),
         evidence: Evidence::Response,
         start: Some("a".to_owned()),
+        version: Version(1),
     };
     assert_eq!(told.try_recv(), Ok(departure));
     assert!(told.try_recv().is_err());
@@ -137,6 +138,26 @@
     assert!(!leaving(&pool));
 }
 
+/// Fails when an entry that is behind takes the version that its peer already
+/// had for newer evidence, or when a late repetition undoes a return.
+#[tokio::test(start_paused = true)]
+async fn the_version_at_the_peer_decides_over_the_return() {
+    let document = Arc::new(fixture::document(Policy::Adaptive, 2, 2));
+    let pool = fixture::open((*document).clone());
+    let mark = || pool.mark_leaving_at(&target(0), Evidence::Response, None, Version(2));
+
+    pool.mark_leaving(&target(0), Evidence::List, None);
+    mark();
+    pool.reload(Arc::clone(&document), Version(2));
+    assert!(leaving(&pool));
+
+    pool.reload(document, Version(3));
+    mark();
+    assert!(!leaving(&pool));
+    pool.mark_leaving(&target(0), Evidence::List, None);
+    assert!(leaving(&pool));
+}
+
 /// Fails when a new process returns a target that the document retires.
 #[tokio::test(start_paused = true)]
 async fn a_new_process_does_not_overrule_the_document() {
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -42,9 +42,10 @@
                 target,
                 evidence,
                 start,
+                version,
             } => {
                 if let Some(pool) = self.services.pool(service) {
-                    pool.mark_leaving(target, convert(*evidence), start.as_deref());
+                    pool.mark_leaving_at(target, convert(*evidence), start.as_deref(), *version);
                 }
             }
             Frame::Sample(sample) => {
--- a/crates/entry/src/targets.rs
+++ b/crates/entry/src/targets.rs
@@ -90,5 +90,6 @@
             Evidence::Document => carobdrift_wire::Evidence::Document,
         },
         start: departure.start,
+        version: departure.version,
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -53,6 +53,8 @@
         evidence: Evidence,
         /// Start id of the target's process, when known.
         start: Option<String>,
+        /// Document version in force where that was seen.
+        version: Version,
     },
     /// Result of a probe.
     Sample(Sample),
--- a/crates/wire/tests/all/codec.rs
+++ b/crates/wire/tests/all/codec.rs
@@ -40,6 +40,7 @@
             target: "sheets-1".parse().unwrap(),
             evidence: Evidence::Response,
             start: Some("a1".to_owned()),
+            version: Version(3),
         },
         Frame::Query {
             request: 1,
