--- a/crates/test-support/tests/all/main.rs
+++ b/crates/test-support/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the stand-ins.
 
 mod platform;
+mod target;
