Close callers that take no bytes of their response

Such a caller held a connection and a slot of a target until it read on, past every deadline. It is now closed after the time that a slow sender gets too. HTTP/2 streams whose window stays closed are not covered yet.

--- a/crates/proxy/src/caller.rs
+++ b/crates/proxy/src/caller.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -64,6 +64,20 @@
     phase: Phase,
     head: Vec<u8>,
     timer: Pin<Box<Sleep>>,
+    write_timeout: Duration,
+    /// Runs while the caller takes no bytes.
+    write_timer: Option<Pin<Box<Sleep>>>,
+}
+
+/// Time limits of a caller's connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Patience {
+    /// For the head of a request, from its first byte.
+    pub(crate) head: Duration,
+    /// For the next request.
+    pub(crate) idle: Duration,
+    /// For the caller to take bytes of a response.
+    pub(crate) write: Duration,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,21 +93,37 @@
 }
 
 impl Stream {
-    pub(crate) fn new(
-        inner: TcpStream,
-        watch: Arc<Watch>,
-        head_timeout: Duration,
-        idle_timeout: Duration,
-    ) -> Self {
+    pub(crate) fn new(inner: TcpStream, watch: Arc<Watch>, patience: Patience) -> Self {
         Self {
             inner,
             watch,
-            head_timeout,
-            idle_timeout,
+            head_timeout: patience.head,
+            idle_timeout: patience.idle,
             phase: Phase::Idle,
             head: Vec::new(),
-            timer: Box::pin(tokio::time::sleep(idle_timeout)),
+            timer: Box::pin(tokio::time::sleep(patience.idle)),
+            write_timeout: patience.write,
+            write_timer: None,
+        }
+    }
+
+    /// Passes on the result of a write, unless the caller takes no bytes for
+    /// too long: such a caller would hold a slot of a target.
+    fn limit_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.write_timer = None;
+            return written;
         }
+        let timeout = self.write_timeout;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// Examines bytes that were read.
@@ -186,7 +216,8 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(cx, bytes);
+        self.limit_write(cx, written)
     }
 
     fn poll_write_vectored(
@@ -194,7 +225,8 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, buffers)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, buffers);
+        self.limit_write(cx, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::caller::{Stream, Watch};
+use crate::caller::{Patience, Stream, Watch};
 use crate::exchange::{Delivery, Gateway};
 use crate::relay::Cut;
 use crate::services::Services;
@@ -235,8 +235,11 @@
         let stream = Stream::new(
             stream,
             Arc::clone(&watch),
-            settings.header_timeout,
-            settings.idle_timeout,
+            Patience {
+                head: settings.header_timeout,
+                idle: settings.idle_timeout,
+                write: settings.body_idle_timeout,
+            },
         );
         let service = service_fn(|request: Request<Incoming>| {
             let ambiguous = watch.begin();
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -12,7 +12,8 @@
     pub address: SocketAddr,
     /// Time within which a request's header must arrive after its first byte.
     pub header_timeout: Duration,
-    /// Longest pause within a request's body.
+    /// Longest pause within a request's body, and longest time for which a
+    /// caller takes no bytes of a response.
     pub body_idle_timeout: Duration,
     /// Time after which a caller's idle connection is closed.
     pub idle_timeout: Duration,
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -82,6 +82,7 @@
     pub(crate) shelf: Arc<Shelf>,
     pub(crate) ledger: Ledger,
     pub(crate) registry: Registry,
+    services: Services,
     http1: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -280,13 +281,14 @@
             &registry,
         );
         let claims = claims.expect("the registry is new");
-        let listener = Listener::bind(settings, &instance, services, claims).await;
+        let listener = Listener::bind(settings, &instance, services.clone(), claims).await;
         Self {
             listener: listener.expect("loopback is free"),
             targets,
             shelf,
             ledger,
             registry,
+            services,
             http1: client(false),
         }
     }
@@ -317,6 +319,13 @@
             .collect()
     }
 
+    /// Requests in flight to targets.
+    pub(crate) fn in_flight(&self) -> u32 {
+        let service = SERVICE.parse().expect("the name is valid");
+        let pool = self.services.pool(&service).expect("it is in force");
+        pool.view().iter().map(|target| target.in_flight).sum()
+    }
+
     /// Sum of a counter over all labels that hold `label`.
     pub(crate) fn counter(&self, name: &str, label: &str) -> f64 {
         let families = self.registry.gather();
--- a/crates/proxy/tests/all/limits.rs
+++ b/crates/proxy/tests/all/limits.rs
@@ -2,11 +2,11 @@
 use std::time::{Duration, Instant};
 
 use carobdrift_proxy::Settings;
-use carobdrift_test_support::target::Faults;
+use carobdrift_test_support::target::{Faults, ServiceTime};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::fixture::{Entry, client, get, post, raw, send, target};
+use crate::fixture::{Entry, client, get, post, raw, send, target, target_with};
 
 const HEAD: &str = "POST /seedings HTTP/1.1\r\nhost: sheets.example\r\nstand-in-token: raw\r\n";
 
@@ -177,3 +177,90 @@
         tokio::time::sleep(Duration::from_millis(400)).await;
     }
 }
+
+/// Guards against callers that request a large response and do not read it:
+/// they would hold connections and slots of targets.
+#[tokio::test]
+async fn slow_readers_time_out() {
+    let targets = vec![target(Faults::default()).await];
+    let change = |document: &mut serde_json::Value| {
+        document["bodies"]["max_response_bytes"] = 100_000_000.into();
+        document["routes"][0]["deadline_ms"] = 20_000.into();
+    };
+    let entry = Entry::with_settings(targets, change, impatient()).await;
+    let mut stream = TcpStream::connect(entry.address()).await.expect("loopback");
+    let request = "GET /heats/7 HTTP/1.1\r\nhost: sheets.example\r\n\
+        stand-in-bytes: 50000000\r\nstand-in-token: slow\r\n\r\n";
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("it is open");
+
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let while_reading = entry.in_flight();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    assert_eq!(while_reading, 1);
+    assert_eq!(entry.in_flight(), 0);
+}
+
+/// Guards against more connections to a target than its document permits, and
+/// against requests that are lost while they wait for one.
+#[tokio::test]
+async fn connections_to_a_target_are_limited() {
+    let settings = carobdrift_test_support::target::Settings {
+        slots: 64,
+        service_time: ServiceTime {
+            mean_ms: 20.0,
+            ..ServiceTime::default()
+        },
+        ..Default::default()
+    };
+    let entry = Entry::with_targets(vec![target_with(settings).await], |document| {
+        document["targets"][0]["slots"] = 3.into();
+        document["connections"]["max_per_target"] = 3.into();
+    })
+    .await;
+    let tokens: Vec<_> = (0..12).map(|n| format!("call-{n}")).collect();
+    let asks = tokens.iter().enumerate().map(|(index, token)| {
+        entry.ask(if index % 2 == 0 {
+            get(token)
+        } else {
+            post(token)
+        })
+    });
+
+    let answers = futures_util::future::join_all(asks).await;
+
+    for answer in answers {
+        let answer = answer.expect("the entry answers");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    let runs = entry.runs();
+    for run in &runs {
+        let beside = runs
+            .iter()
+            .filter(|other| other.begin_us < run.begin_us && other.end_us > Some(run.begin_us));
+        assert!(
+            beside.count() < 3,
+            "more than three run at {} us",
+            run.begin_us
+        );
+    }
+}
+
+/// Guards against idle connections to targets that are never closed.
+#[tokio::test]
+async fn idle_connections_are_closed() {
+    let entry = Entry::with_targets(vec![target(Faults::default()).await], |document| {
+        document["connections"]["idle_timeout_ms"] = 100.into();
+    })
+    .await;
+    let answer = entry.ask(get("one")).await.expect("the entry answers");
+    assert_eq!(answer.status, 200);
+    assert_eq!(entry.targets[0].connections(), 1);
+
+    tokio::time::sleep(Duration::from_millis(900)).await;
+
+    assert_eq!(entry.targets[0].connections(), 0);
+}
--- a/crates/test-support/src/target/standin.rs
+++ b/crates/test-support/src/target/standin.rs
@@ -153,6 +153,12 @@
         self.core.shared.in_flight()
     }
 
+    /// Connections to the service listener that are open now.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.core.open_connections().len()
+    }
+
     /// Times of all probes, in microseconds since the start.
     #[must_use]
     pub fn probes_us(&self) -> Vec<u64> {
