Keep the mean service time of the target stand-in

The timer rounds every pause up to its tick, which made a mean of 10 ms one of about 11 ms and the stated load 0.7 one of nearly 0.8. What a run takes beyond its service time is taken off the next ones.

--- a/crates/test-support/src/target/serve.rs
+++ b/crates/test-support/src/target/serve.rs
@@ -55,8 +55,14 @@
     sampler: Sampler,
     faults: Mutex<Faults>,
     start: Mutex<String>,
+    /// Time that earlier runs took beyond their service time.
+    overrun: Mutex<Duration>,
 }
 
+/// Largest time to be taken off later runs. A machine that was stopped for
+/// longer must not make the runs after it instant.
+const MAX_OVERRUN: Duration = Duration::from_millis(5);
+
 impl Shared {
     pub(super) fn new(settings: &Settings) -> Self {
         let started = Instant::now();
@@ -72,6 +78,7 @@
             sampler: Sampler::new(settings.service_time),
             faults: Mutex::new(settings.faults.clone()),
             start: Mutex::new(draw_start()),
+            overrun: Mutex::default(),
         }
     }
 
@@ -158,7 +165,7 @@
         let running = self
             .record
             .begin(format!("{} {}", head.method, head.uri), &head.headers);
-        pause(self.service_time(&faults)).await;
+        self.work(self.service_time(&faults)).await;
         running.complete();
         drop(permit);
         pause(Duration::from_millis(faults.late_ms)).await;
@@ -178,6 +185,22 @@
         })
     }
 
+    /// Takes the service time. What the timer adds by rounding up is taken off
+    /// the next runs, so that the mean service time is the stated one.
+    async fn work(&self, time: Duration) {
+        let saved = {
+            let mut overrun = lock(&self.overrun);
+            let saved = time.min(*overrun);
+            *overrun -= saved;
+            saved
+        };
+        let begin = Instant::now();
+        pause(time - saved).await;
+        let beyond = begin.elapsed().saturating_sub(time - saved);
+        let mut overrun = lock(&self.overrun);
+        *overrun = (*overrun + beyond).min(MAX_OVERRUN);
+    }
+
     fn service_time(&self, faults: &Faults) -> Duration {
         let age = self.started.elapsed();
         let mut factor = faults.slow.unwrap_or(1.0);
