--- a/crates/test-support/src/target/serve.rs
+++ b/crates/test-support/src/target/serve.rs
@@ -194,9 +194,10 @@
             *overrun -= saved;
             saved
         };
+        let rest = time.saturating_sub(saved);
         let begin = Instant::now();
-        pause(time - saved).await;
-        let beyond = begin.elapsed().saturating_sub(time - saved);
+        pause(rest).await;
+        let beyond = begin.elapsed().saturating_sub(rest);
         let mut overrun = lock(&self.overrun);
         *overrun = (*overrun + beyond).min(MAX_OVERRUN);
     }
