--- a/tests/all/silence.rs
+++ b/tests/all/silence.rs
@@ -2,16 +2,23 @@
 
 use std::time::{Duration, Instant};
 
+use carobdrift_test_support::caller::{Call, Caller};
 use carobdrift_test_support::load;
 use carobdrift_test_support::platform::Fault;
 use carobdrift_test_support::target::Action;
+use futures_util::future::join_all;
 use http::StatusCode;
 
-use crate::installation::{IN_FORCE, Installation, SERVICE, lost, orders, views};
+use crate::installation::{
+    IN_FORCE, Installation, SERVICE, Sent, lost, order, orders, view, views,
+};
 
 /// Time after which no open connection from before the fault is used.
 const REPLACED: Duration = Duration::from_secs(1);
 
+/// A view that takes longer has waited on a silent connection.
+const SLOW: Duration = Duration::from_millis(400);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections_to_targets_are_replaced() {
     let mut installation = Installation::start().await;
@@ -44,6 +51,64 @@
     }
 }
 
+/// Without hedges, which would hide that silent connections are still used.
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_that_went_silent_are_left() {
+    let mut installation = Installation::start().await;
+    installation.serve(SERVICE, 1, 10.0).await;
+    let mut document = installation.document(SERVICE);
+    document["hedging"]["budget_percent"] = 0.into();
+    let (status, answer) = installation.put(0, SERVICE, 1, "alone", &document).await;
+    assert_eq!(status, StatusCode::OK, "{answer}");
+    installation.wait_version(&[0, 1, 2], SERVICE, 2).await;
+    let caller = installation.caller_of(0);
+    let key = caller.key(SERVICE).await.unwrap().unwrap();
+
+    silence_idle(&installation, &caller, 0).await;
+    let mut orders = Vec::new();
+    for number in 0..10 {
+        let call = order(&caller, &format!("{key}-{number}"));
+        orders.push(installation.send(&caller, 0, &call).await);
+    }
+    silence_idle(&installation, &caller, 1).await;
+    let timed = async || {
+        let call = Call {
+            deadline: Duration::from_secs(1),
+            ..view(&caller)
+        };
+        let begin = Instant::now();
+        let sent = installation.send(&caller, 1, &call).await;
+        (begin.elapsed(), sent)
+    };
+    let mut views = vec![timed().await];
+    views.extend(join_all((0..6).map(|_| timed())).await);
+
+    assert!(orders.iter().all(Sent::is_whole), "{orders:?}");
+    assert!(views.iter().all(|(_, sent)| sent.is_whole()), "{views:?}");
+    let slow = views.iter().filter(|(time, _)| *time > SLOW).count();
+    assert_eq!(slow, 1, "only the first one meets silence: {views:?}");
+}
+
+/// Opens many connections of an entry, lets them idle until they are not
+/// proven any more and makes them silent.
+async fn silence_idle(installation: &Installation, caller: &Caller, entry: usize) {
+    // The retry budget, which new connections are paid from, is filled by the
+    // way.
+    for _ in 0..3 {
+        let calls: Vec<Call> = (0..12).map(|_| view(caller)).collect();
+        let sends = calls
+            .iter()
+            .map(|call| installation.send(caller, entry, call));
+        let warm = join_all(sends).await;
+        assert!(warm.iter().all(Sent::is_whole), "{warm:?}");
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for target in &installation.fleet.targets {
+        let action = &Action::SwallowOpen;
+        installation.fleet.act(target, action).await.unwrap();
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_connections_to_the_platform_are_replaced() {
     let mut installation = Installation::start().await;
