--- a/crates/test-support/tests/all/platform.rs
+++ b/crates/test-support/tests/all/platform.rs
@@ -10,6 +10,8 @@
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
 
+use crate::PROGRAM_START;
+
 struct Program(Child);
 
 impl Drop for Program {
@@ -19,7 +21,8 @@
     }
 }
 
-fn start_program() -> (Program, Value) {
+async fn start_program() -> (Program, Value) {
+    let _start = PROGRAM_START.lock().await;
     let mut child = Command::new(env!("CARGO_BIN_EXE_platform-stand-in"))
         .stdout(Stdio::piped())
         .spawn()
@@ -43,7 +46,7 @@
 
 #[tokio::test]
 async fn program_states_its_addresses_and_takes_faults_and_instances() {
-    let (_program, line) = start_program();
+    let (_program, line) = start_program().await;
     let address: SocketAddr = line["address"].as_str().unwrap().parse().unwrap();
     let control = Control::new(line["control"].as_str().unwrap().parse().unwrap());
 
@@ -65,6 +68,7 @@
 
 #[tokio::test]
 async fn refusing_keeps_the_port_and_closes_open_connections() {
+    let _no_start = PROGRAM_START.lock().await;
     let stand_in = StandIn::bind(Settings::default()).await.unwrap();
     let open = TcpStream::connect(stand_in.address()).await.unwrap();
 
--- a/crates/test-support/tests/all/target.rs
+++ b/crates/test-support/tests/all/target.rs
@@ -17,6 +17,8 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
 
+use crate::PROGRAM_START;
+
 type Caller = Client<HttpConnector, Full<Bytes>>;
 
 struct Answer {
@@ -290,6 +292,7 @@
 
 #[tokio::test]
 async fn the_program_is_controlled_over_its_port() {
+    let start = PROGRAM_START.lock().await;
     let mut child = Command::new(env!("CARGO_BIN_EXE_target-stand-in"))
         .args(["--mean-ms", "1", "--slots", "3"])
         .stdout(Stdio::piped())
@@ -299,6 +302,7 @@
     let stdout = child.stdout.take().unwrap();
     let _program = Program(child);
     BufReader::new(stdout).read_line(&mut line).unwrap();
+    drop(start);
     let line: Value = serde_json::from_str(&line).unwrap();
     let address: SocketAddr = line["address"].as_str().unwrap().parse().unwrap();
     let control: SocketAddr = line["control"].as_str().unwrap().parse().unwrap();
