--- a/crates/catalog/tests/all/edit.rs
+++ b/crates/catalog/tests/all/edit.rs
@@ -165,7 +165,7 @@
         if let Ok(accepted) = result {
             assert_eq!(accepted.outcome.version, Version(1), "{name}");
             assert_eq!(stand_in.row("documents/sheets").unwrap().version, 1);
-            assert!(accepted.in_force >= 2, "{name}");
+            assert!(accepted.in_force >= 2, "{name}: {}", accepted.in_force);
         }
     }
 }
--- a/crates/catalog/tests/all/fixture.rs
+++ b/crates/catalog/tests/all/fixture.rs
@@ -73,7 +73,6 @@
     let store = Relay::bind().await.unwrap();
     store.set_target(stand_in.address());
     let settings = settings(name, &peers);
-    let listen = settings.listen;
     let client = Client::open(carobdrift_platform::Settings {
         address: store.address(),
         timeout: Duration::from_secs(1),
@@ -95,7 +94,7 @@
         (links, catalog)
     });
     let (links, catalog) = running.await.unwrap();
-    peers.set_target(listen);
+    peers.set_target(links.address());
     Node {
         name: name.to_owned(),
         catalog,
@@ -109,9 +108,6 @@
 
 fn settings(name: &str, peers: &Relay) -> Settings {
     let unused = "127.0.0.1:9".parse().unwrap();
-    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let listen = free.local_addr().unwrap();
-    drop(free);
     Settings {
         instance: id(name),
         incarnation: Incarnation::draw(),
@@ -119,7 +115,7 @@
         zone: "hobart".parse().unwrap(),
         caller: unused,
         admin: unused,
-        listen,
+        listen: "127.0.0.1:0".parse().unwrap(),
         advertise: Some(peers.address()),
         secret: Secret::new("peers only".to_owned()),
     }
@@ -139,11 +135,11 @@
     let relay = Relay::bind().await.unwrap();
     list(stand_in, name, &relay);
     let settings = settings(name, &relay);
-    relay.set_target(settings.listen);
     let metrics = LinkMetrics::register(&Registry::new()).unwrap();
     let (links, inbox) = Links::bind(settings, client(stand_in), metrics)
         .await
         .unwrap();
+    relay.set_target(links.address());
     let copy = Arc::new(Mutex::new(None));
     tokio::spawn(show(Arc::clone(&copy), inbox));
     Puppet {
--- a/crates/membership/src/links.rs
+++ b/crates/membership/src/links.rs
@@ -32,6 +32,7 @@
 #[derive(Debug, Clone)]
 pub struct Links {
     shared: Arc<Shared>,
+    bound: SocketAddr,
     _guard: Arc<DropGuard>,
 }
 
@@ -107,6 +108,7 @@
         tokio::spawn(list::run(Arc::clone(&shared), client));
         let links = Self {
             shared,
+            bound,
             _guard: Arc::new(stopped.drop_guard()),
         };
         Ok((links, receiver))
@@ -119,10 +121,10 @@
         &self.shared.hello
     }
 
-    /// Address at which peers reach this entry.
+    /// Address on which the peer listener listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.shared.hello.peer
+        self.bound
     }
 
     /// States what this entry knows of the documents. The age that peers see
--- a/crates/membership/tests/all/fixture.rs
+++ b/crates/membership/tests/all/fixture.rs
@@ -83,9 +83,6 @@
     relay: Relay,
 ) -> Node {
     let unused = "127.0.0.1:9".parse().unwrap();
-    let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let listen = probe.local_addr().unwrap();
-    drop(probe);
     let settings = Settings {
         instance: id(name),
         incarnation: Incarnation::draw(),
@@ -93,7 +90,7 @@
         zone: "hobart".parse().unwrap(),
         caller: unused,
         admin: unused,
-        listen,
+        listen: "127.0.0.1:0".parse().unwrap(),
         advertise: Some(relay.address()),
         secret: Secret::new(shape.secret.to_owned()),
     };
@@ -102,7 +99,7 @@
     let (links, inbox) = Links::bind(settings, client(stand_in), metrics)
         .await
         .unwrap();
-    relay.set_target(listen);
+    relay.set_target(links.address());
     Node {
         links,
         inbox,
