--- a/crates/proxy/tests/all/limits.rs
+++ b/crates/proxy/tests/all/limits.rs
@@ -3,6 +3,7 @@
 
 use carobdrift_proxy::Settings;
 use carobdrift_test_support::target::{Faults, ServiceTime};
+use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -204,6 +205,32 @@
     assert_eq!(entry.in_flight(), 0);
 }
 
+/// Guards against callers that hold slots of targets past the deadline of their
+/// requests by not reading, over both protocols.
+#[tokio::test]
+async fn a_response_that_is_not_read_ends_at_the_deadline() {
+    for http2 in [false, true] {
+        let entry = Entry::with_targets(vec![target(Faults::default()).await], |document| {
+            document["bodies"]["max_response_bytes"] = 100_000_000.into();
+        })
+        .await;
+        let ask = get("unread")
+            .with("stand-in-bytes", "50000000")
+            .with("carobdrift-deadline-ms", "700");
+        let client = client(http2);
+        let response = client.request(ask.request(entry.address())).await;
+        let response = response.expect("the entry answers");
+        let while_reading = entry.in_flight();
+
+        tokio::time::sleep(Duration::from_secs(1)).await;
+
+        assert_eq!(while_reading, 1, "HTTP/2 {http2}");
+        assert_eq!(entry.in_flight(), 0, "HTTP/2 {http2}");
+        let rest = response.into_body().collect().await;
+        assert!(rest.is_err(), "HTTP/2 {http2}");
+    }
+}
+
 /// Guards against more connections to a target than its document permits, and
 /// against requests that are lost while they wait for one.
 #[tokio::test]
--- a/crates/proxy/tests/all/protocols.rs
+++ b/crates/proxy/tests/all/protocols.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use carobdrift_test_support::target::Faults;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,6 +10,15 @@
 /// A target that answers one request with these bytes, and returns the head
 /// that it got.
 async fn scripted(answer: &'static str) -> (SocketAddr, tokio::task::JoinHandle<String>) {
+    scripted_until(answer, Duration::ZERO).await
+}
+
+/// A scripted target that keeps its connection open for a time after its
+/// answer.
+async fn scripted_until(
+    answer: &'static str,
+    open: Duration,
+) -> (SocketAddr, tokio::task::JoinHandle<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
     let address = listener.local_addr().expect("bound");
     let target = tokio::spawn(async move {
@@ -20,6 +29,7 @@
             .write_all(answer.as_bytes())
             .await
             .expect("the entry reads");
+        tokio::time::sleep(open).await;
         String::from_utf8_lossy(&head[..length]).into_owned()
     });
     (address, target)
@@ -195,3 +205,29 @@
     }
     assert!(entry.runs().is_empty());
 }
+
+/// Guards against a response that stalls in its middle and holds its caller
+/// past the deadline, or then looks complete.
+#[tokio::test]
+async fn a_response_that_stalls_ends_at_the_deadline() {
+    let cases = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nheat",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nheat\r\n",
+    ];
+    for case in cases {
+        for http2 in [false, true] {
+            let open = Duration::from_secs(3);
+            let (address, _target) = scripted_until(case, open).await;
+            let entry = Entry::with_targets(Vec::new(), |text| *text = document(&[address])).await;
+            let ask = get("case").with("carobdrift-deadline-ms", "200");
+            let begin = Instant::now();
+
+            let answer = send(&client(http2), &ask, entry.address()).await;
+
+            assert!(answer.is_err(), "{case:?}, HTTP/2 {http2}: {answer:?}");
+            let took = begin.elapsed();
+            assert!(took < Duration::from_millis(700), "{case:?}: {took:?}");
+            assert_eq!(entry.in_flight(), 0);
+        }
+    }
+}
