--- a/crates/balance/src/state.rs
+++ b/crates/balance/src/state.rs
@@ -55,6 +55,8 @@
     pub(crate) attempt: u64,
     /// Class of the call.
     pub(crate) class: Class,
+    /// Whether the attempt is a hedge.
+    pub(crate) hedge: bool,
 }
 
 /// An admitted call.
@@ -146,6 +148,7 @@
                     target: endpoint.id.clone(),
                     evidence: Evidence::Document,
                     start: node.tenure.start().map(str::to_owned),
+                    version: self.version,
                 });
             }
         }
@@ -185,7 +188,7 @@
             node.learn_start(start, now);
         }
         if report.draining {
-            self.mark_leaving(&target, Evidence::Response, start, now, effects);
+            self.mark_leaving(&target, Evidence::Response, start, None, now, effects);
         }
     }
 
@@ -206,12 +209,16 @@
         let attempt = ticket.attempt;
         let mut failing = false;
         let mut latency = None;
+        let mut cut = None;
         match observation.map(|observation| observation.outcome) {
             Some(Outcome::Success) => latency = node.succeed(attempt, now),
             Some(Outcome::Failure) => failing = node.fail(attempt, true, now),
             Some(Outcome::TimedOut) => failing = node.fail(attempt, false, now),
             Some(Outcome::Refused) => node.refuse(attempt, now),
-            Some(Outcome::Connection) | None => node.cancel(attempt, now),
+            Some(Outcome::Connection) => {
+                node.cancel(attempt, now);
+            }
+            None => cut = node.cancel(attempt, now),
         }
         if node.retired && node.in_flight() == 0 {
             self.nodes.remove(&ticket.node);
@@ -221,20 +228,31 @@
         if let Some(seconds) = latency {
             let traffic = self.traffic(&ticket.class, now);
             traffic.attempts.observe(seconds);
-            traffic.latency.record(seconds, now);
+            if !ticket.hedge {
+                traffic.latency.record(seconds, now);
+            }
+        }
+        if let Some(seconds) = cut
+            && !ticket.hedge
+        {
+            self.traffic(&ticket.class, now)
+                .latency
+                .record_cut(seconds, now);
         }
     }
 
-    /// Marks a target as leaving.
+    /// Marks a target as leaving. `seen` is the document version in force where
+    /// that was seen, when it was not here.
     pub(crate) fn mark_leaving(
         &mut self,
         target: &Target,
         evidence: Evidence,
         start: Option<&str>,
+        seen: Option<Version>,
         now: Instant,
         effects: &mut Effects,
     ) {
-        let version = self.version;
+        let version = seen.unwrap_or(self.version);
         let Some(node) = self.node_mut(target) else {
             return;
         };
@@ -255,6 +273,7 @@
             target: target.clone(),
             evidence,
             start,
+            version,
         });
         self.enforce_ejection_cap(now);
     }
