--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -88,7 +88,7 @@
         let addresses = Addresses {
             caller: links.introduction().caller,
             admin: links.introduction().admin,
-            peer: links.address(),
+            peer: links.introduction().peer,
         };
 
         let catalog = Catalog::spawn(
--- a/crates/replay/src/compare/event.rs
+++ b/crates/replay/src/compare/event.rs
@@ -12,8 +12,8 @@
 use super::setup::Bench;
 use crate::trace::{Action, Event, PlatformFault};
 
-/// Slow-down of targets that hold probes.
-const HOLD_FACTOR: f64 = 60.0;
+/// Slow-down of targets that hold probes and requests.
+const HOLD_FACTOR: f64 = 8.0;
 
 /// Something that ends a fault later.
 enum Undo {
