--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -179,8 +179,8 @@
         this.shared
             .waiting
             .store(polled.is_pending(), Ordering::Release);
-        // Checked after the poll: a connection that the watchdog closed can
-        // look like the end of the body.
+        // Checked after the poll, so that a connection closed by the watchdog
+        // is never taken for the end of a body without a stated length.
         if this.shared.is_over() {
             return Poll::Ready(Some(Err(Cut::Deadline)));
         }
