Keep draining targets away after unrelated edits, and ask again for hedges

A newer document version cleared every leaving mark of a target that it listed as active, also a mark from the target's own response: an unrelated edit sent it new requests. Only a mark that came from a document is answered by a document now.

The data path asked once for a hedge and gave up when no slot was free.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -32,6 +32,6 @@
 pub use metrics::Metrics;
 pub use observation::{Departure, Evidence, Load, Observation, Outcome, Report, Sample};
 pub use policy::Policy;
-pub use pool::{Local, Pool};
+pub use pool::{HEDGE_PAUSE, Local, Pool};
 pub use slot::Slot;
 pub use view::{Standing, TargetView};
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -30,7 +30,7 @@
 
 /// Time after which a hedge that the budget or the slots did not admit is tried
 /// again.
-const HEDGE_PAUSE: Duration = Duration::from_millis(2);
+pub const HEDGE_PAUSE: Duration = Duration::from_millis(2);
 
 /// Age up to which a probe sample is taken in.
 const SAMPLE_VALIDITY: Duration = Duration::from_secs(1);
--- a/crates/balance/src/tenure.rs
+++ b/crates/balance/src/tenure.rs
@@ -88,6 +88,9 @@
     }
 
     /// Takes in a document version; returns whether the target has come back.
+    /// A version that lists the target as active only answers a mark that came
+    /// from a document: an unrelated edit says nothing about a process that
+    /// stated by itself that it is leaving.
     pub(crate) fn reload(&mut self, version: Version, active: bool) -> bool {
         if !active {
             self.mark(Evidence::Document, version);
@@ -96,7 +99,7 @@
         if self
             .mark
             .as_ref()
-            .is_some_and(|mark| version > mark.version)
+            .is_some_and(|mark| mark.evidence == Evidence::Document && version > mark.version)
         {
             self.mark = None;
             self.returned = version;
--- a/crates/proxy/src/race.rs
+++ b/crates/proxy/src/race.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
-use carobdrift_balance::{Purpose, Slot};
+use carobdrift_balance::{HEDGE_PAUSE, Purpose, Slot};
 use carobdrift_units::Target;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -88,11 +88,13 @@
                 }
             }
             () = &mut hedge, if !hedged => {
+                let Some(slot) = another(Purpose::Hedge) else {
+                    // A slot or some budget may come free before the answer.
+                    hedge.as_mut().reset(Instant::now() + HEDGE_PAUSE);
+                    continue;
+                };
                 hedged = true;
-                match another(Purpose::Hedge) {
-                    Some(slot) => (slot, Freshness::Proven),
-                    None => continue,
-                }
+                (slot, Freshness::Proven)
             }
             () = &mut suspicion, if !suspected => {
                 suspected = true;
