Divide limits by statements and grants of 30 s

Half of each limit lay in fixed shares for 20 entries, grants held for 2 s and classes only scaled with their service. With a few steered entries most of the fixed half was unusable, a limit below 40 had no fixed share, and every change of the holder took the granted half away.

Now a tenth is fixed and the rest is granted for 30 s, for the service and for each class with limits. An entry states what it wants and what it holds, and uses no more than that until the next grant, so the holder can give the difference to others at once. A new holder renews what is stated for 30 s. Queries carry a number, because a query that is held up in an old link must not replace a newer statement. A call that finds the share used up waits for at most 100 ms, counts towards the length of its queue, and raises an alarm that lets its entry ask at once.

The first busy entry takes four times its demand, which can be a whole small limit until its next query 2 s later; the holder therefore recalls shares when an entry gets less than its fair part. And a service that was just created had no share for 30 s; when the holder's confirmation shows that it did not exist at the start of the tenure, there is no grant to wait for.

Shares that are granted are not pushed by the holder without a query, because only a statement of the entry tells what it no longer uses.

--- a/crates/balance/src/admission.rs
+++ b/crates/balance/src/admission.rs
@@ -1,6 +1,5 @@
 //! Admission of calls and of further attempts.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use carobdrift_document::Kind;
@@ -10,8 +9,9 @@
 
 use crate::call::{Call, Purpose, Scope, Shed};
 use crate::class::Traffic;
+use crate::count::Stage;
 use crate::node::Node;
-use crate::permit::Permit;
+use crate::permit::{Permit, Shares};
 use crate::policy::{Admit, Ask};
 use crate::queue::Waiter;
 use crate::slot::Slot;
@@ -24,14 +24,19 @@
 
 impl State {
     /// Admits a call: sends it, lets it wait or sheds it.
-    pub(crate) fn admit(&mut self, call: &Call, now: Instant) -> Result<Admitted, Shed> {
+    pub(crate) fn admit(
+        &mut self,
+        call: &Call,
+        stage: Stage,
+        now: Instant,
+    ) -> Result<Admitted, Shed> {
         if call.deadline <= now {
             return Err(Shed::Deadline);
         }
         if !self.nodes.values().any(Node::is_usable) {
             return Err(Shed::NoTarget);
         }
-        let permit = self.permit(&call.class, true, now).map_err(Shed::Limit)?;
+        let permit = self.permit(&call.class, stage, now).map_err(Shed::Limit)?;
         if self.queue.is_empty()
             && let Some(serial) = self.choose(&call.class, call.kind, Admit::Free, true, &[], now)
         {
@@ -135,7 +140,7 @@
                     .or_else(|| self.choose(class, call.kind, Admit::Connection, false, tried, now))
             }
         }?;
-        let permit = self.permit(class, false, now).ok()?;
+        let permit = self.permit(class, Stage::Further, now).ok()?;
         let budget = if hedge {
             &mut self.hedges
         } else {
@@ -216,19 +221,38 @@
         }
     }
 
-    fn permit(&mut self, class: &Class, new: bool, now: Instant) -> Result<Permit, Scope> {
-        let limit = Arc::clone(&self.traffic(class, now).limit);
-        let team = self.local.team.clone();
-        Permit::enter(limit, self.allowance.clone(), team, new, now)
+    fn permit(&mut self, class: &Class, stage: Stage, now: Instant) -> Result<Permit, Scope> {
+        Permit::enter(self.shares(class, now), stage, now)
+    }
+
+    /// The shares that a request of a class is counted against.
+    pub(crate) fn shares(&mut self, class: &Class, now: Instant) -> Shares {
+        Shares {
+            class: self.traffic(class, now).limit.clone(),
+            service: self.allowance.clone(),
+            team: self.local.team.clone(),
+        }
     }
 
     pub(crate) fn traffic(&mut self, class: &Class, now: Instant) -> &mut Traffic {
         if !self.classes.contains_key(class) {
-            let traffic = Traffic::new(&self.document, class, &self.metrics, now);
+            let traffic = Traffic::new(
+                &self.document,
+                class,
+                self.local.max_entries,
+                &self.metrics,
+                now,
+            );
             self.classes.insert(class.clone(), traffic);
         }
-        self.classes
-            .entry(class.clone())
-            .or_insert_with(|| Traffic::new(&self.document, class, &self.metrics, now))
+        self.classes.entry(class.clone()).or_insert_with(|| {
+            Traffic::new(
+                &self.document,
+                class,
+                self.local.max_entries,
+                &self.metrics,
+                now,
+            )
+        })
     }
 }
--- a/crates/balance/src/allowance.rs
+++ b/crates/balance/src/allowance.rs
@@ -3,47 +3,60 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use carobdrift_document::Limits;
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 use tokio::time::Instant;
 
-use crate::window::Window;
+use crate::count::{Count, Stage};
+use crate::share::{Place, Share, Statement, UNLIMITED, fixed_part};
 
-/// Part of a limit.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Share {
-    /// Requests in flight.
-    pub in_flight: u32,
-    /// Calls per second.
-    pub per_second: u32,
-}
+/// Times its demand of the last second that an entry wants, so that a load
+/// that grows finds room until the next grant.
+const HEADROOM: u32 = 4;
+
+/// Part of a limit, as a divisor, that an entry wants while it is idle if
+/// callers are steered to it.
+const RESERVE: u32 = 8;
 
-/// This entry's share of the limits of a service or a team; cheap to clone.
+/// This entry's share of the limits of a service, a class or a team; cheap to
+/// clone.
 ///
-/// Half of each limit is divided into equal fixed shares for the largest
+/// A tenth of each limit is divided into equal fixed shares for the largest
 /// permitted number of entries. A grant adds to the fixed share until it
 /// expires.
 #[derive(Debug, Clone)]
 pub struct Allowance {
     state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
 }
 
 #[derive(Debug)]
 struct State {
     limits: Limits,
     max_entries: u32,
-    grant: Option<(Share, Instant)>,
+    grant: Option<Grant>,
+    place: Option<Place>,
     split: Option<u32>,
+    /// Whether a new statement is due: the share ran short or was recalled.
+    short: bool,
+    /// Whether anything was wanted or held in the last statement.
+    stated: bool,
+    alarm: Option<Arc<Notify>>,
     count: Count,
 }
 
-/// Requests counted against a share.
-#[derive(Debug, Default)]
-pub(crate) struct Count {
-    in_flight: u32,
-    peak: u32,
-    admitted: Window,
-    asked: Window,
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    share: Share,
+    expires: Instant,
+    /// Whether the entry took it itself because nobody could grant one.
+    own: bool,
 }
 
+/// A call that waits for a larger share; dropping it ends the wait.
+#[derive(Debug)]
+pub(crate) struct Waiting<'a>(&'a Allowance);
+
 impl Allowance {
     /// Opens the share of `limits` for one of at most `max_entries` entries.
     #[must_use]
@@ -53,27 +66,70 @@
                 limits,
                 max_entries: max_entries.max(1),
                 grant: None,
+                place: None,
                 split: None,
+                short: false,
+                stated: false,
+                alarm: None,
                 count: Count::default(),
             })),
+            changed: Arc::default(),
         }
     }
 
     /// Replaces the limits.
     pub fn reload(&self, limits: Limits) {
-        self.lock().limits = limits;
+        self.change(|state| state.limits = limits);
     }
 
     /// Adds a grant to the fixed share until `expires`; replaces the last one.
     pub fn grant(&self, share: Share, expires: Instant) {
-        self.lock().grant = Some((share, expires));
+        self.change(|state| {
+            state.grant = Some(Grant {
+                share,
+                expires,
+                own: false,
+            });
+        });
+    }
+
+    /// Takes the place's part of the whole limit until `expires`, unless a
+    /// grant is in force. For a store outage, in which nothing can be granted.
+    pub fn bridge(&self, expires: Instant) {
+        let now = Instant::now();
+        self.change(|state| {
+            let granted = state.grant(now).is_some_and(|grant| !grant.own);
+            if let Some(place) = state.place.filter(|_| !granted) {
+                let fixed = state.fixed();
+                let part = |limit, fixed| place.part(limit).saturating_sub(fixed);
+                let share = Share {
+                    in_flight: part(state.limits.max_in_flight, fixed.in_flight),
+                    per_second: part(state.limits.max_per_second, fixed.per_second),
+                };
+                state.grant = Some(Grant {
+                    share,
+                    expires,
+                    own: true,
+                });
+            }
+        });
+    }
+
+    /// States the entry's place among those that callers are steered to; `None`
+    /// when they are not steered to it.
+    pub fn place(&self, place: Option<Place>) {
+        let mut state = self.lock();
+        let appears = state.place.is_none() && place.is_some();
+        state.place = place;
+        if appears {
+            state.raise_alarm();
+        }
     }
 
     /// With a number of entries, uses the limits divided by it, at least 1, in
-    /// place of fixed share and grant. For a store outage, in which nothing can
-    /// be granted.
+    /// place of fixed share and grant. For limits that nobody grants.
     pub fn split(&self, entries: Option<u32>) {
-        self.lock().split = entries;
+        self.change(|state| state.split = entries);
     }
 
     /// The share in force at this moment.
@@ -83,37 +139,115 @@
     }
 
     /// The share that the calls of the last second would have needed: the
-    /// largest number in flight since the last query, and the calls that asked.
+    /// largest number in flight or waiting, and the calls that asked.
     #[must_use]
     pub fn demand(&self) -> Share {
+        self.lock().count.demand(Instant::now())
+    }
+
+    /// What is wanted and held besides the fixed share; `None` when that is
+    /// nothing and was nothing the last time. The statement is binding: the
+    /// entry uses no more from now on until the next grant.
+    #[must_use]
+    pub fn state(&self) -> Option<Statement> {
         let mut state = self.lock();
-        let count = &mut state.count;
-        let peak = std::mem::replace(&mut count.peak, count.in_flight);
-        Share {
-            in_flight: peak,
-            per_second: count.asked.sum(Instant::now()),
-        }
+        let statement = state.state(Instant::now());
+        let is_needed = statement != Statement::default();
+        // What was stated before is given back by one more statement.
+        (std::mem::replace(&mut state.stated, is_needed) || is_needed).then_some(statement)
     }
 
-    /// Whole limits of which this is a share.
-    pub(crate) fn limits(&self) -> Limits {
-        self.lock().limits.clone()
+    /// Notifies `alarm` when the share runs short.
+    pub fn alert(&self, alarm: &Arc<Notify>) {
+        let mut state = self.lock();
+        if !state
+            .alarm
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, alarm))
+        {
+            state.alarm = Some(Arc::clone(alarm));
+        }
     }
 
-    /// Admits a call (`new`) or one more attempt of an admitted call.
-    pub(crate) fn enter(&self, new: bool, now: Instant) -> bool {
+    /// Requires a new statement of what is held. Returns whether anything is.
+    #[must_use]
+    pub fn recall(&self) -> bool {
         let mut state = self.lock();
-        let share = state.share(now);
-        state.count.enter(share, new, now)
+        let granted = state.grant(Instant::now());
+        let holds = granted.is_some_and(|grant| grant.share != Share::default());
+        state.short |= holds;
+        holds
+    }
+
+    /// Whether the share ran short or was recalled since it was last stated.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.lock().short
+    }
+
+    /// Whether a grant could make the share larger.
+    pub(crate) fn can_grow(&self) -> bool {
+        self.lock().can_grow(Instant::now())
+    }
+
+    /// Counts a call as asking for admission.
+    pub(crate) fn ask(&self, now: Instant) {
+        self.lock().count.ask(now);
+    }
+
+    /// Admits a call or one more attempt of an admitted call.
+    pub(crate) fn enter(&self, stage: Stage, now: Instant) -> bool {
+        let mut guard = self.lock();
+        let share = guard.share(now);
+        let entered = guard.count.enter(share, stage, now);
+        let whole = guard.whole();
+        if guard.count.runs_short(share, whole, now) {
+            guard.raise_alarm();
+        }
+        entered
     }
 
     pub(crate) fn leave(&self) {
-        self.lock().count.leave();
+        self.vacate(Count::leave);
     }
 
     /// Takes an admission back as if it had not been asked for.
-    pub(crate) fn undo(&self, new: bool, now: Instant) {
-        self.lock().count.undo(new, now);
+    pub(crate) fn undo(&self, stage: Stage, now: Instant) {
+        self.vacate(|count| count.undo(stage, now));
+    }
+
+    /// Counts a call as waiting.
+    pub(crate) fn wait(&self, now: Instant) -> Waiting<'_> {
+        self.lock().count.wait(now);
+        Waiting(self)
+    }
+
+    /// Wakes when the share changed or a request ended.
+    pub(crate) fn changed(&self) -> Notified<'_> {
+        self.changed.notified()
+    }
+
+    /// Wakes the next waiting call in place of one that had no use for it.
+    pub(crate) fn pass_on(&self) {
+        if self.lock().count.is_awaited() {
+            self.changed.notify_one();
+        }
+    }
+
+    fn vacate(&self, change: impl FnOnce(&mut Count)) {
+        let awaited = {
+            let mut state = self.lock();
+            change(&mut state.count);
+            state.count.is_awaited()
+        };
+        if awaited {
+            self.changed.notify_one();
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.lock());
+        self.changed.notify_waiters();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -121,56 +255,95 @@
     }
 }
 
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.lock().count.stop_waiting();
+    }
+}
+
 impl State {
+    fn fixed(&self) -> Share {
+        Share {
+            in_flight: fixed_part(self.limits.max_in_flight, self.max_entries),
+            per_second: fixed_part(self.limits.max_per_second, self.max_entries),
+        }
+    }
+
+    fn grant(&self, now: Instant) -> Option<Grant> {
+        self.grant.filter(|grant| now < grant.expires)
+    }
+
+    fn whole(&self) -> Share {
+        Share {
+            in_flight: self.limits.max_in_flight,
+            per_second: self.limits.max_per_second,
+        }
+    }
+
     fn share(&self, now: Instant) -> Share {
-        let Limits {
-            max_in_flight,
-            max_per_second,
-        } = self.limits;
+        let whole = self.whole();
         if let Some(entries) = self.split {
-            let part = |limit: u32| (limit / entries.max(1)).max(limit.min(1));
+            let part = |limit: u32| match limit {
+                UNLIMITED => UNLIMITED,
+                _ => (limit / entries.max(1)).max(limit.min(1)),
+            };
             return Share {
-                in_flight: part(max_in_flight),
-                per_second: part(max_per_second),
+                in_flight: part(whole.in_flight),
+                per_second: part(whole.per_second),
             };
         }
-        let grant = self.grant.filter(|(_, expires)| now < *expires);
-        let grant = grant.map(|(share, _)| share).unwrap_or_default();
-        let fixed = |limit: u32| limit / 2 / self.max_entries;
-        Share {
-            in_flight: (fixed(max_in_flight) + grant.in_flight).min(max_in_flight),
-            per_second: (fixed(max_per_second) + grant.per_second).min(max_per_second),
-        }
+        let granted = self.grant(now).map(|grant| grant.share);
+        self.fixed()
+            .saturating_add(granted.unwrap_or_default())
+            .min(whole)
     }
-}
 
-impl Count {
-    pub(crate) fn enter(&mut self, share: Share, new: bool, now: Instant) -> bool {
-        if new {
-            self.asked.add(now);
-        }
-        self.peak = self.peak.max(self.in_flight + 1);
-        if self.in_flight >= share.in_flight {
-            return false;
-        }
-        if new && self.admitted.sum(now) >= share.per_second {
-            return false;
-        }
-        if new {
-            self.admitted.add(now);
-        }
-        self.in_flight += 1;
-        true
+    fn can_grow(&self, now: Instant) -> bool {
+        self.split.is_none() && self.share(now) != self.whole()
     }
 
-    pub(crate) fn leave(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+    fn state(&mut self, now: Instant) -> Statement {
+        self.short = false;
+        let want = self.want(now);
+        let Some(grant) = self.grant(now) else {
+            self.grant = None;
+            let held = Share::default();
+            return Statement { want, held };
+        };
+        let kept = grant.share.min(want);
+        self.grant = Some(Grant {
+            share: kept,
+            ..grant
+        });
+        // Requests that were admitted under a larger share still count.
+        let used = self.count.used(now).saturating_sub(self.fixed());
+        Statement {
+            want,
+            held: kept.max(used),
+        }
     }
 
-    pub(crate) fn undo(&mut self, new: bool, now: Instant) {
-        self.leave();
-        if new {
-            self.admitted.remove(now);
+    fn raise_alarm(&mut self) {
+        if self.short || !self.can_grow(Instant::now()) {
+            return;
+        }
+        self.short = true;
+        if let Some(alarm) = &self.alarm {
+            alarm.notify_one();
         }
     }
+
+    fn want(&mut self, now: Instant) -> Share {
+        let demand = self.count.demand(now);
+        let steered = self.place.is_some();
+        let part = |demand: u32, limit: u32| {
+            let reserve = if steered { limit / RESERVE } else { 0 };
+            demand.saturating_mul(HEADROOM).max(reserve).min(limit)
+        };
+        let want = Share {
+            in_flight: part(demand.in_flight, self.limits.max_in_flight),
+            per_second: part(demand.per_second, self.limits.max_per_second),
+        };
+        want.saturating_sub(self.fixed())
+    }
 }
--- a/crates/balance/src/class.rs
+++ b/crates/balance/src/class.rs
@@ -1,21 +1,25 @@
 //! What a pool knows of one class of requests.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 
-use carobdrift_document::Document;
+use carobdrift_document::{Document, Limits};
 use carobdrift_units::{Class, Service};
 use prometheus::{Histogram, IntCounter};
 use tokio::time::Instant;
 
+use crate::allowance::Allowance;
 use crate::latency::Latency;
 use crate::metrics::Metrics;
-use crate::permit::{ClassLimit, ClassLimits};
+use crate::share::UNLIMITED;
 
 /// Latency, limits and metrics of a class.
 #[derive(Debug)]
 pub(crate) struct Traffic {
     pub(crate) latency: Latency,
-    pub(crate) limit: Arc<ClassLimit>,
+    pub(crate) limit: Allowance,
+    /// Calls that wait for a larger share of a limit.
+    pub(crate) waiting: Arc<AtomicU32>,
     pub(crate) attempts: Histogram,
     pub(crate) queued: Histogram,
     pub(crate) retries: IntCounter,
@@ -23,19 +27,24 @@
 }
 
 impl Traffic {
-    pub(crate) fn new(document: &Document, class: &Class, metrics: &Metrics, now: Instant) -> Self {
+    pub(crate) fn new(
+        document: &Document,
+        class: &Class,
+        max_entries: u32,
+        metrics: &Metrics,
+        now: Instant,
+    ) -> Self {
         let service: &Service = &document.service;
         let labels = [service.as_str(), class.as_str()];
-        let traffic = Self {
+        Self {
             latency: Latency::new(quantile(document), now),
-            limit: Arc::new(ClassLimit::default()),
+            limit: Allowance::open(limits(document, class), max_entries),
+            waiting: Arc::default(),
             attempts: metrics.attempts.with_label_values(&labels),
             queued: metrics.queued.with_label_values(&labels),
             retries: metrics.retries.with_label_values(&labels),
             hedges: metrics.hedges.with_label_values(&labels),
-        };
-        traffic.limit.reload(limits(document, class));
-        traffic
+        }
     }
 
     pub(crate) fn reload(&mut self, document: &Document, class: &Class) {
@@ -48,10 +57,13 @@
     document.hedging.after_percentile.fraction().min(1.0)
 }
 
-fn limits(document: &Document, class: &Class) -> ClassLimits {
+fn limits(document: &Document, class: &Class) -> Limits {
     let listed = document.classes.iter().find(|listed| listed.name == *class);
-    listed.map_or_else(ClassLimits::default, |listed| ClassLimits {
-        in_flight: listed.max_in_flight,
-        per_second: listed.max_per_second,
-    })
+    let (in_flight, per_second) = listed.map_or((None, None), |listed| {
+        (listed.max_in_flight, listed.max_per_second)
+    });
+    Limits {
+        max_in_flight: in_flight.unwrap_or(UNLIMITED),
+        max_per_second: per_second.unwrap_or(UNLIMITED),
+    }
 }
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -11,6 +11,7 @@
 
 use crate::allowance::Allowance;
 use crate::call::{Call, Purpose, Shed};
+use crate::count::Stage;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::observation::{Departure, Evidence, Observation, Report, Sample};
@@ -202,6 +203,23 @@
         self.shared.allowance.clone()
     }
 
+    /// This entry's shares of the service's limits and of those of its classes
+    /// that have limits.
+    #[must_use]
+    pub fn allowances(&self) -> Vec<(Option<Class>, Allowance)> {
+        let now = Instant::now();
+        let mut state = self.shared.lock();
+        let document = Arc::clone(&state.document);
+        let classes = document.classes.iter();
+        let limited = classes.filter(|c| c.max_in_flight.is_some() || c.max_per_second.is_some());
+        let mut allowances = vec![(None, self.shared.allowance.clone())];
+        for class in limited {
+            let limit = state.traffic(&class.name, now).limit.clone();
+            allowances.push((Some(class.name.clone()), limit));
+        }
+        allowances
+    }
+
     /// The policy in force.
     #[must_use]
     pub fn policy(&self) -> Policy {
@@ -219,7 +237,7 @@
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -261,9 +279,10 @@
         result
     }
 
-    async fn acquire(self: &Arc<Self>, call: &Call) -> Result<Slot, Shed> {
-        let admitted = self.change(|state, now, _| {
-            Ok(match state.admit(call, now)? {
+    /// Sends a call or lets it wait in the queue.
+    pub(crate) fn admit(self: &Arc<Self>, call: &Call, stage: Stage) -> Result<Reply, Shed> {
+        self.change(|state, now, _| {
+            Ok(match state.admit(call, stage, now)? {
                 Admitted::Sent(ticket, permit) => match state.nodes.get(&ticket.node) {
                     Some(node) => Ok(self.slot(ticket, node, permit)),
                     None => return Err(Shed::NoTarget),
@@ -275,7 +294,14 @@
                     receiver,
                 }),
             })
-        })?;
+        })
+    }
+
+    async fn acquire(self: &Arc<Self>, call: &Call) -> Result<Slot, Shed> {
+        let admitted = match self.admit(call, Stage::First) {
+            Err(Shed::Limit(scope)) => self.wait_for_share(call, scope).await?,
+            result => result?,
+        };
         match admitted {
             Ok(slot) => Ok(slot),
             Err(mut waiting) => {
@@ -307,9 +333,12 @@
     }
 }
 
+/// A slot, or the place of the call in the queue.
+pub(crate) type Reply = Result<Slot, Waiting>;
+
 /// A call that waits for its slot; dropping it leaves the queue.
 #[derive(Debug)]
-struct Waiting {
+pub(crate) struct Waiting {
     shared: Arc<Shared>,
     class: Class,
     position: Position,
--- a/crates/balance/src/queue.rs
+++ b/crates/balance/src/queue.rs
@@ -93,6 +93,15 @@
             .retain(|_, line| line.listed || !line.waiters.is_empty());
     }
 
+    /// Free places in the queue of a class.
+    pub(crate) fn room(&self, class: &Class) -> u32 {
+        let (max, waiting) = self
+            .lines
+            .get(class)
+            .map_or((UNLISTED_QUEUE, 0), |line| (line.max, line.waiters.len()));
+        max.saturating_sub(u32::try_from(waiting).unwrap_or(u32::MAX))
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.waiting == 0
     }
--- a/crates/balance/tests/all/main.rs
+++ b/crates/balance/tests/all/main.rs
@@ -10,3 +10,4 @@
 mod queue;
 mod reload;
 mod signal;
+mod wait;
--- a/crates/balance/tests/all/queue.rs
+++ b/crates/balance/tests/all/queue.rs
@@ -152,6 +152,7 @@
     assert!(pool.view().iter().all(|target| target.in_flight == 0));
     assert_eq!(fixture::fill(&pool).await.len(), 6);
     assert_eq!(pool.allowance().demand().in_flight.min(1), 1);
+    pass(2_000).await;
     assert_eq!(pool.allowance().demand().in_flight, 0);
 }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use carobdrift_admin::{Live, Server, Tokens};
+use carobdrift_admin::{Live, Pools, Server, Tokens};
 use carobdrift_balance::{Allowance, Departure, Local};
 use carobdrift_catalog::Catalog;
 use carobdrift_document::Limits;
@@ -29,6 +29,7 @@
 use crate::peers::Peers;
 use crate::settings::{Secret, Settings};
 use crate::statement;
+use crate::steered::Steered;
 use crate::subjects;
 use crate::targets;
 
@@ -141,13 +142,13 @@
             services: services.clone(),
             subjects,
             teams: teams.into_values().collect(),
+            steered: Steered::new(&settings),
             leaving: Arc::clone(&leaving),
         }
         .spawn();
 
-        let pools = services.clone();
-        let pools = Arc::new(move |service: &_| pools.pool(service));
-        let server = server.serve(Arc::new(Live::new(catalog.clone(), links, ledger, pools)));
+        let live = Live::new(catalog.clone(), links, ledger, pools(&services));
+        let server = server.serve(Arc::new(live));
         let listener = Listener::open(
             callers,
             carobdrift_proxy::Settings::default(),
@@ -213,6 +214,11 @@
     }
 }
 
+fn pools(services: &Services) -> Pools {
+    let services = services.clone();
+    Arc::new(move |service| services.pool(service))
+}
+
 fn open_client(settings: &Settings, registry: &Registry) -> Result<Client, Error> {
     let client = Client::open(carobdrift_platform::Settings {
         address: settings.platform.address,
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use carobdrift_balance::{Evidence, Sample, Share};
+use carobdrift_balance::{Evidence, Sample};
 use carobdrift_catalog::Catalog;
 use carobdrift_idempotency::Ledger;
-use carobdrift_measure::Shares;
+use carobdrift_measure::{Asker, Shares};
 use carobdrift_membership::Inbound;
 use carobdrift_proxy::Services;
 use carobdrift_units::Instance;
@@ -47,6 +47,7 @@
                     pool.mark_leaving(target, convert(*evidence), start.as_deref());
                 }
             }
+            Frame::Recall { service } => self.shares.recall(service),
             Frame::Sample(sample) => {
                 if let Some(pool) = self.services.pool(&sample.service) {
                     pool.learn(&received(sample));
@@ -58,16 +59,17 @@
 
     fn answer(&self, from: &Instance, query: &Query) -> Answer {
         if let Query::Share {
-            service,
-            in_flight,
-            per_second,
+            asker,
+            sequence,
+            services,
         } = query
         {
-            let want = Share {
-                in_flight: *in_flight,
-                per_second: *per_second,
+            let asker = Asker {
+                instance: from.clone(),
+                incarnation: *asker,
+                sequence: *sequence,
             };
-            return self.shares.answer(from, service, want);
+            return self.shares.answer(&asker, services);
         }
         self.ledger
             .answer(query)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod settings;
 mod statement;
+mod steered;
 mod subjects;
 mod targets;
 
--- a/crates/entry/src/statement.rs
+++ b/crates/entry/src/statement.rs
@@ -7,12 +7,14 @@
 
 use carobdrift_balance::Allowance;
 use carobdrift_catalog::{Catalog, Standing};
-use carobdrift_measure::Subjects;
+use carobdrift_measure::{Subjects, VALIDITY};
 use carobdrift_membership::{Links, Serving};
 use carobdrift_proxy::Services;
 use carobdrift_units::Service;
 use carobdrift_wire::Rate;
 
+use crate::steered::Steered;
+
 /// Pause between two statements.
 const INTERVAL: Duration = Duration::from_millis(250);
 
@@ -23,6 +25,9 @@
 /// Statements between two looks at the rates.
 const RATE_INTERVALS: u32 = 4;
 
+/// Statements between two looks at which services are steered here.
+const LIMIT_INTERVALS: u32 = 4;
+
 /// Weight of the last second in a rate.
 const RATE_WEIGHT: f64 = 0.5;
 
@@ -33,6 +38,7 @@
     pub(crate) services: Services,
     pub(crate) subjects: Subjects,
     pub(crate) teams: Vec<Allowance>,
+    pub(crate) steered: Steered,
     pub(crate) leaving: Arc<AtomicBool>,
 }
 
@@ -52,30 +58,37 @@
                     rates.update(&self.services);
                 }
                 let standing = self.catalog.standing();
-                self.split_limits(standing);
                 let leaving = self.leaving.load(Ordering::Acquire);
                 self.links.publish(Serving {
                     ready: standing.serves() && !leaving,
                     leaving,
                     rates: rates.busiest(),
                 });
+                if number % LIMIT_INTERVALS == 0 {
+                    self.divide_limits(standing);
+                }
             }
         });
     }
 
-    /// In a store outage no share can be granted, so each entry takes its part
-    /// of the whole limit.
-    fn split_limits(&self, standing: Standing) {
-        let entries = u32::try_from(self.links.cell_size())
-            .unwrap_or(u32::MAX)
-            .max(1);
-        let split = (standing == Standing::Outage).then_some(entries);
+    /// States to which services callers are steered here. In a store outage,
+    /// when no share can be granted, these take their part of the whole limit.
+    fn divide_limits(&self, standing: Standing) {
+        let candidates = self.steered.candidates(&self.links);
+        let expires = tokio::time::Instant::now() + VALIDITY;
         for subject in self.subjects.borrow().iter() {
-            subject.pool.allowance().split(split);
+            let place = self.steered.place(&subject.document, &candidates);
+            for (_, allowance) in subject.pool.allowances() {
+                allowance.place(place);
+                if standing == Standing::Outage {
+                    allowance.bridge(expires);
+                }
+            }
         }
+        let entries = u32::try_from(self.links.cell_size()).unwrap_or(u32::MAX);
         for team in &self.teams {
             // Nobody grants shares of team limits.
-            team.split(Some(entries));
+            team.split(Some(entries.max(1)));
         }
     }
 }
--- /dev/null
+++ b/crates/measure/src/convert.rs
@@ -0,0 +1,34 @@
+//! Shares as they are sent and as the pools have them.
+
+use carobdrift_balance::{Share, Statement};
+use carobdrift_units::Class;
+use carobdrift_wire::{Portion, Want};
+
+pub(crate) fn share(portion: Portion) -> Share {
+    Share {
+        in_flight: portion.in_flight,
+        per_second: portion.per_second,
+    }
+}
+
+pub(crate) fn portion(share: Share) -> Portion {
+    Portion {
+        in_flight: share.in_flight,
+        per_second: share.per_second,
+    }
+}
+
+pub(crate) fn want(class: Option<&Class>, statement: Statement) -> Want {
+    Want {
+        class: class.cloned(),
+        want: portion(statement.want),
+        held: portion(statement.held),
+    }
+}
+
+pub(crate) fn statement(want: &Want) -> Statement {
+    Statement {
+        want: share(want.want),
+        held: share(want.held),
+    }
+}
--- /dev/null
+++ b/crates/measure/src/grants.rs
@@ -0,0 +1,116 @@
+//! The books of all services whose shard leases this entry holds.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use carobdrift_document::{Document, Limits};
+use carobdrift_units::{Class, Service};
+use carobdrift_wire::{Ask, Grant, Part};
+use tokio::time::Instant;
+
+use crate::book::{Asker, Book, Whole};
+use crate::convert;
+
+/// Shortest pause between two recalls of a service's shares. Several fit into
+/// the 100 ms for which a call waits.
+const RECALL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Books by service.
+#[derive(Debug)]
+pub(crate) struct Grants {
+    max_entries: u32,
+    books: HashMap<Service, Open>,
+}
+
+/// The book of the tenure in progress.
+#[derive(Debug)]
+struct Open {
+    book: Book,
+    /// Start of the tenure.
+    since: Instant,
+    recalled: Option<Instant>,
+}
+
+impl Grants {
+    pub(crate) fn open(max_entries: u32) -> Self {
+        Self {
+            max_entries,
+            books: HashMap::new(),
+        }
+    }
+
+    /// Grants what an entry asks for of the limits of one service. `None` when
+    /// a newer query of the entry was answered before.
+    pub(crate) fn grant(
+        &mut self,
+        document: &Document,
+        since: Instant,
+        settled: bool,
+        asker: &Asker,
+        ask: &Ask,
+        now: Instant,
+    ) -> Option<Grant> {
+        let new = || Open {
+            book: Book::default(),
+            since,
+            recalled: None,
+        };
+        let open = self.books.entry(ask.service.clone()).or_insert_with(new);
+        if open.since != since {
+            // Others granted shares between the two tenures.
+            *open = new();
+        }
+        let book = &mut open.book;
+        if !book.is_newer(asker) {
+            return None;
+        }
+        let mut limits = Vec::new();
+        for want in &ask.limits {
+            let Some(whole) = limits_of(document, want.class.as_ref()) else {
+                continue;
+            };
+            let whole = Whole {
+                limits: whole,
+                max_entries: self.max_entries,
+                settled,
+            };
+            let statement = convert::statement(want);
+            let class = want.class.as_ref();
+            let granted = book.grant(class, &whole, &asker.instance, statement, now);
+            limits.push(Part {
+                class: want.class.clone(),
+                granted: convert::portion(granted),
+            });
+        }
+        Some(Grant {
+            service: ask.service.clone(),
+            limits,
+        })
+    }
+
+    /// Whether the entries are to state anew what they hold of a service's
+    /// limits, because one of them got too little.
+    pub(crate) fn recall(&mut self, service: &Service, now: Instant) -> bool {
+        let Some(open) = self.books.get_mut(service) else {
+            return false;
+        };
+        let recent = open.recalled.is_some_and(|at| now < at + RECALL_PAUSE);
+        if recent || !open.book.is_squeezed() {
+            return false;
+        }
+        open.recalled = Some(now);
+        true
+    }
+}
+
+/// Limits of a service or of one of its classes.
+fn limits_of(document: &Document, class: Option<&Class>) -> Option<Limits> {
+    let Some(class) = class else {
+        return Some(document.limits.clone());
+    };
+    let listed = document.classes.iter().find(|c| c.name == *class)?;
+    Some(Limits {
+        max_in_flight: listed.max_in_flight.unwrap_or(u32::MAX),
+        max_per_second: listed.max_per_second.unwrap_or(u32::MAX),
+    })
+}
--- a/crates/membership/src/listener.rs
+++ b/crates/membership/src/listener.rs
@@ -171,7 +171,10 @@
                 outbound: Arc::clone(outbound),
                 metrics: shared.metrics.clone(),
             }),
-            Frame::Announce { .. } | Frame::Leaving { .. } | Frame::Sample(_) => None,
+            Frame::Announce { .. }
+            | Frame::Leaving { .. }
+            | Frame::Recall { .. }
+            | Frame::Sample(_) => None,
             Frame::Hello(_)
             | Frame::Welcome(_)
             | Frame::Refusal(_)
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -56,6 +56,12 @@
     },
     /// Result of a probe.
     Sample(Sample),
+    /// The entries that hold a share of the limits of a service are to state
+    /// anew what they hold, because another one needs a part of it.
+    Recall {
+        /// The service.
+        service: Service,
+    },
     /// A question that the other side answers with `Reply`.
     Query {
         /// Number of the question on this link.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,14 +7,16 @@
 mod codec;
 mod frame;
 mod query;
+mod share;
 mod status;
 
 pub use claim::{Attempt, Decision, Fingerprint, Key, KeyError, Recorded};
 pub use codec::{DecodeError, EncodeError, FRAME_LIMIT, decode, encode};
 pub use frame::{Evidence, Frame, Hello, Refusal, Sample};
 pub use query::{Answer, Copy, Query};
+pub use share::{Ask, Grant, Part, Portion, Want};
 pub use status::{Rate, Status};
 
 /// Protocol version that this build speaks. Raised with every change that an
 /// older build can't read.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
--- a/crates/wire/src/query.rs
+++ b/crates/wire/src/query.rs
@@ -1,9 +1,10 @@
 //! Questions between entries and their answers.
 
-use carobdrift_units::{Revision, Service, Version};
+use carobdrift_units::{Incarnation, Revision, Service, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::claim::{Attempt, Decision, Fingerprint, Key, Recorded};
+use crate::share::{Ask, Grant};
 
 /// A question to a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,14 +50,15 @@
         /// Position in the change log that holds its version.
         revision: Revision,
     },
-    /// Asks the holder of a service's shard lease for a share of its limits.
+    /// Asks the holder of shard leases for shares of the limits of services.
     Share {
-        /// The service.
-        service: Service,
-        /// Requests in flight that the asking entry wants to permit.
-        in_flight: u32,
-        /// Calls per second that the asking entry wants to permit.
-        per_second: u32,
+        /// Incarnation of the asking process.
+        asker: Incarnation,
+        /// Grows with every such query of the process. An older statement that
+        /// arrives late must not replace a newer one.
+        sequence: u64,
+        /// The services.
+        services: Vec<Ask>,
     },
 }
 
@@ -82,13 +84,11 @@
     Claim(Decision),
     /// The settlement or the release was recorded, or the document is in force.
     Done,
-    /// A share of the limits.
+    /// Shares of the limits of those services whose lease the peer holds.
     Share {
-        /// Requests in flight granted.
-        in_flight: u32,
-        /// Calls per second granted.
-        per_second: u32,
-        /// Milliseconds for which the grant holds, counted from the moment at
+        /// The services.
+        services: Vec<Grant>,
+        /// Milliseconds for which the grants hold, counted from the moment at
         /// which the query was sent.
         valid_ms: u64,
     },
