--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -42,9 +42,10 @@
                 target,
                 evidence,
                 start,
+                version,
             } => {
                 if let Some(pool) = self.services.pool(service) {
-                    pool.mark_leaving(target, convert(*evidence), start.as_deref());
+                    pool.mark_leaving_at(target, convert(*evidence), start.as_deref(), *version);
                 }
             }
             Frame::Recall { service } => self.shares.recall(service),
@@ -89,7 +90,7 @@
 fn received(sample: &carobdrift_wire::Sample) -> Sample {
     Sample {
         target: sample.target.clone(),
-        in_flight: sample.healthy.then_some(sample.in_flight),
+        in_flight: sample.in_flight,
         latency: Duration::from_micros(sample.latency_us),
         age: sample.age.duration(),
         start: sample.start.clone(),
--- a/crates/measure/tests/all/shares.rs
+++ b/crates/measure/tests/all/shares.rs
@@ -9,7 +9,7 @@
 use carobdrift_balance::{Call, Local, Pool, Scope, Shed, Slot};
 use carobdrift_document::{Kind, Policy};
 use carobdrift_measure::{Asker, Leases, Shard, Shares, Subject};
-use carobdrift_membership::{Confirmation, Inbox, Links, Secret};
+use carobdrift_membership::{Confirmation, Inbox, Links, Peer, Secret};
 use carobdrift_test_support::platform::{Listing, StandIn};
 use carobdrift_units::{Incarnation, Version};
 use carobdrift_wire::{Answer, Ask, Frame, Portion, Query, Want};
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::fixture::{cell, client, instance, leases, metrics, platform, subject, subjects};
+use crate::fixture::{cell, client, instance, leases, metrics, platform, subject, subjects, until};
 
 const ENTRIES: u32 = 20;
 
@@ -50,9 +50,7 @@
 }
 
 async fn hold(leases: &Leases, shard: Shard) {
-    while leases.tenure(shard).is_none() {
-        sleep(Duration::from_millis(5)).await;
-    }
+    until(|| leases.tenure(shard).is_some()).await;
 }
 
 fn answer_queries(shares: Shares, mut inbox: Inbox) {
@@ -206,15 +204,8 @@
     // is put now.
     confirm(&holder_links);
     for (_, links) in &entries {
-        let connected = || {
-            links
-                .peers()
-                .iter()
-                .any(|p| p.instance == instance(0) && p.connected)
-        };
-        while !connected() {
-            sleep(Duration::from_millis(20)).await;
-        }
+        let is_holder = |peer: &Peer| peer.connected && peer.instance == instance(0);
+        until(|| links.peers().iter().any(is_holder)).await;
     }
     sleep(Duration::from_millis(400)).await;
     let mut pools = Vec::new();
--- a/crates/wire/tests/all/codec.rs
+++ b/crates/wire/tests/all/codec.rs
@@ -23,6 +23,7 @@
                 store_reachable: true,
                 recovered: true,
                 cell_size: 15,
+                ledger: Millis(5_000),
                 ready: true,
                 leaving: false,
                 rates: Vec::new(),
@@ -47,6 +48,7 @@
             target: "sheets-1".parse().unwrap(),
             evidence: Evidence::Response,
             start: Some("a1".to_owned()),
+            version: Version(3),
         },
         Frame::Recall {
             service: "sheets".parse().unwrap(),
