--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod measuring;
 mod settings;
 mod statement;
+mod steered;
 mod subjects;
 mod targets;
 
