Let the first holder of a lease grant shares at once

The exception for services that a confirmation shows to be new missed when the documents were put right after the start.

A lease that is given back now leaves a row that says so, where the row was deleted before. An absent row therefore shows that nobody held the lease before, and its first holder has no grants to wait for. This replaces the exception for new services, which is gone: a service that is created within 30 s after a change of the holder still waits.

--- a/crates/measure/src/holder.rs
+++ b/crates/measure/src/holder.rs
@@ -1,12 +1,11 @@
 //! What the holder of a shard lease answers to those who ask for shares.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 
 use carobdrift_units::Service;
 use carobdrift_wire::{Answer, Ask};
 use tokio::time::Instant;
 
-use crate::absence::Absence;
 use crate::book::{Asker, VALIDITY};
 use crate::grants::Grants;
 use crate::leases::Leases;
@@ -18,7 +17,6 @@
 #[derive(Debug)]
 pub(crate) struct Holder {
     leases: Leases,
-    absence: Arc<Absence>,
     grants: Mutex<Grants>,
     metrics: Metrics,
 }
@@ -32,15 +30,9 @@
 }
 
 impl Holder {
-    pub(crate) fn open(
-        leases: Leases,
-        absence: Arc<Absence>,
-        max_entries: u32,
-        metrics: Metrics,
-    ) -> Self {
+    pub(crate) fn open(leases: Leases, max_entries: u32, metrics: Metrics) -> Self {
         Self {
             leases,
-            absence,
             grants: Mutex::new(Grants::open(max_entries)),
             metrics,
         }
@@ -59,10 +51,8 @@
             };
             held = true;
             let subject = subjects.iter().find(|s| s.document.service == *service);
-            let absent = self.absence.get(service);
             // Until then, unknown grants of the last holder may be in use.
-            let settled =
-                now >= tenure.since + VALIDITY || absent.is_some_and(|at| at >= tenure.since);
+            let settled = tenure.first || now >= tenure.since + VALIDITY;
             let mut grants = self.grants.lock().unwrap_or_else(PoisonError::into_inner);
             let grant = subject
                 .and_then(|s| grants.grant(&s.document, tenure.since, settled, asker, ask, now));
--- a/crates/measure/src/lease.rs
+++ b/crates/measure/src/lease.rs
@@ -51,6 +51,10 @@
     pub(crate) owner: Owner,
     /// Id of the transaction that wrote the row.
     pub(crate) transaction: String,
+    /// Whether the lease was given back. The row stays, so that an absent row
+    /// shows that the lease was never held.
+    #[serde(default)]
+    pub(crate) released: bool,
 }
 
 /// A time for which a lease is held without a gap.
@@ -60,6 +64,8 @@
     pub since: Instant,
     /// When the holder must stop, unless it renews the lease.
     pub until: Instant,
+    /// Whether nobody held the lease before.
+    pub first: bool,
 }
 
 /// One shard lease as one entry sees it. All moments are of the entry's own
@@ -81,8 +87,10 @@
 struct Seen {
     /// Version; 0 when the row is absent.
     version: u64,
-    /// Writer of the row, unless the value can't be read.
+    /// Writer of the row, unless the value can't be read or the lease was given
+    /// back.
     writer: Option<Owner>,
+    released: bool,
     /// When this version was first seen.
     since: Instant,
 }
@@ -111,9 +119,12 @@
             let sent = *sent;
             self.written(version, sent, now);
         } else if self.row.as_ref().is_none_or(|row| row.version != version) {
+            let released = claim.as_ref().is_some_and(|claim| claim.released);
+            let held = claim.filter(|claim| !claim.released);
             self.row = Some(Seen {
                 version,
-                writer: claim.map(|claim| claim.owner),
+                writer: held.map(|claim| claim.owner),
+                released,
                 since: now,
             });
         }
@@ -125,7 +136,7 @@
     pub fn due(&self, rank: u32) -> Option<Instant> {
         let row = self.row.as_ref()?;
         let wait = self.timing.rank_step * rank.min(LAST_RANK);
-        if row.version == 0 {
+        if row.version == 0 || row.released {
             return Some(row.since + wait);
         }
         if row.writer.as_ref() == Some(&self.owner) {
@@ -145,17 +156,22 @@
 
     /// A write that was sent at `sent` took effect and gave the row `version`.
     pub fn written(&mut self, version: u64, sent: Instant, now: Instant) {
-        let since = match self.tenure {
-            Some(tenure) if now < tenure.until => tenure.since,
-            _ => now,
+        let (since, first) = match self.tenure {
+            Some(tenure) if now < tenure.until => (tenure.since, tenure.first),
+            _ => (now, self.version() == 0),
         };
         let until = sent + self.timing.duration.saturating_sub(self.timing.margin);
-        self.tenure = Some(Tenure { since, until });
+        self.tenure = Some(Tenure {
+            since,
+            until,
+            first,
+        });
         self.renewed = Some(sent);
         self.unknown = None;
         self.row = Some(Seen {
             version,
             writer: Some(self.owner.clone()),
+            released: false,
             since: now,
         });
     }
--- a/crates/measure/src/leases.rs
+++ b/crates/measure/src/leases.rs
@@ -130,7 +130,7 @@
     }
 
     /// Gives all leases back for good. No permit is given from now on; the rows
-    /// are deleted once the window of the budget has passed without a probe.
+    /// say so once the window of the budget has passed without a probe.
     pub async fn release(&self) {
         self.shared.lock().leaving = true;
         self.shared.leaving.cancel();
@@ -170,8 +170,9 @@
                 .collect()
         };
         join_all(own.into_iter().map(|(shard, version)| async move {
-            let mut transaction = self.condition(shard, version);
-            transaction.deletes.push(self.key(shard));
+            let Some(transaction) = self.claim(shard, version, true) else {
+                return;
+            };
             if let Err(error) = self.client.transact(&transaction).await {
                 log::warn!(target: "measure", "lease of shard {shard} can't be given back and runs out: {error}");
             }
@@ -232,23 +233,9 @@
     /// Takes or renews the lease of a shard.
     async fn write(&self, shard: Shard, version: u64) {
         let key = self.key(shard);
-        let mut transaction = self.condition(shard, version);
-        let claim = Claim {
-            owner: self.settings.owner.clone(),
-            transaction: transaction.id.clone(),
-        };
-        let value = match serde_json::to_value(claim) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!(target: "measure", "lease of shard {shard} can't be encoded: {error}");
-                return;
-            }
-        };
-        let put = Put {
-            key: key.clone(),
-            value,
+        let Some(transaction) = self.claim(shard, version, false) else {
+            return;
         };
-        transaction.puts.push(put);
         let sent = Instant::now();
         let result = self.client.transact(&transaction).await;
         let written = result.as_ref().ok().and_then(|c| c.versions.get(&key));
@@ -269,16 +256,31 @@
         }
     }
 
-    fn condition(&self, shard: Shard, version: u64) -> Transaction {
-        Transaction {
-            id: format!("{:032x}", rand::random::<u128>()),
+    /// Transaction that takes, renews or gives back the lease of a shard.
+    fn claim(&self, shard: Shard, version: u64, released: bool) -> Option<Transaction> {
+        let id = format!("{:032x}", rand::random::<u128>());
+        let claim = Claim {
+            owner: self.settings.owner.clone(),
+            transaction: id.clone(),
+            released,
+        };
+        let key = self.key(shard);
+        let value = match serde_json::to_value(claim) {
+            Ok(value) => value,
+            Err(error) => {
+                log::error!(target: "measure", "lease of shard {shard} can't be encoded: {error}");
+                return None;
+            }
+        };
+        Some(Transaction {
+            id,
             conditions: vec![Condition {
-                key: self.key(shard),
+                key: key.clone(),
                 version,
             }],
-            puts: Vec::new(),
+            puts: vec![Put { key, value }],
             deletes: Vec::new(),
-        }
+        })
     }
 
     fn key(&self, shard: Shard) -> String {
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -5,7 +5,6 @@
 //! shard is held, and [`Shares`] grants parts of their limits to the entries of
 //! the cell.
 
-mod absence;
 mod book;
 mod column;
 mod convert;
--- a/crates/measure/src/shares.rs
+++ b/crates/measure/src/shares.rs
@@ -14,7 +14,6 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-use crate::absence::Absence;
 use crate::book::{Asker, VALIDITY};
 use crate::convert;
 use crate::holder::Holder;
@@ -83,12 +82,9 @@
         max_entries: u32,
         metrics: Metrics,
     ) -> Self {
-        let absence = Arc::new(Absence::default());
         let stopped = CancellationToken::new();
-        let watch = Arc::clone(&absence).follow(links.clone(), subjects.clone());
-        tokio::spawn(stopped.clone().run_until_cancelled_owned(watch));
         let shared = Arc::new(Shared {
-            holder: Holder::open(leases.clone(), absence, max_entries, metrics),
+            holder: Holder::open(leases.clone(), max_entries, metrics),
             leases,
             links,
             subjects,
--- a/crates/measure/tests/all/lease.rs
+++ b/crates/measure/tests/all/lease.rs
@@ -147,3 +147,32 @@
     let tenure = lease.tenure(later + SECOND).unwrap();
     assert_eq!(tenure.since, later + SECOND);
 }
+
+/// Fails when a holder takes itself for the first one although a predecessor
+/// may have granted shares, or when a lease that was given back is not free at
+/// once.
+#[test]
+fn only_an_absent_row_has_no_predecessor() {
+    let start = Instant::now();
+    let own = owner("e-1", 1);
+    let tenure = |row: Option<&Row>| {
+        let mut lease = Lease::new(own.clone(), Timing::default());
+        lease.observe(row, start);
+        let due = lease.due(0);
+        lease.written(9, start + SECOND * 20, start + SECOND * 20);
+        // A renewal keeps what the tenure began with.
+        lease.written(10, start + SECOND * 25, start + SECOND * 25);
+        let first = lease.tenure(start + SECOND * 26).map(|tenure| tenure.first);
+        (due, first)
+    };
+    let held = row(4, &owner("e-2", 1), "a");
+    let mut released = held.clone();
+    released.value["released"] = true.into();
+
+    assert_eq!(tenure(None), (Some(start), Some(true)));
+    assert_eq!(tenure(Some(&released)), (Some(start), Some(false)));
+    assert_eq!(
+        tenure(Some(&held)),
+        (Some(start + SECOND * 15), Some(false))
+    );
+}
--- a/crates/measure/tests/all/shares.rs
+++ b/crates/measure/tests/all/shares.rs
@@ -4,12 +4,12 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use carobdrift_balance::{Call, Local, Pool, Scope, Shed, Slot};
 use carobdrift_document::{Kind, Policy};
 use carobdrift_measure::{Asker, Leases, Shard, Shares, Subject};
-use carobdrift_membership::{Confirmation, Inbox, Links, Peer, Secret};
+use carobdrift_membership::{Inbox, Links, Peer, Secret};
 use carobdrift_test_support::platform::{Listing, StandIn};
 use carobdrift_units::{Incarnation, Version};
 use carobdrift_wire::{Answer, Ask, Frame, Portion, Query, Want};
@@ -136,15 +136,6 @@
     }
 }
 
-fn confirm(links: &Links) {
-    links.publish_confirmation(Confirmation {
-        at: Some(Instant::now()),
-        store_reachable: true,
-        recovered: true,
-        ..Confirmation::default()
-    });
-}
-
 fn unused() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 9))
 }
@@ -155,12 +146,14 @@
 async fn a_new_holder_renews_what_is_held_and_nothing_more() {
     let platform = platform().await;
     let shard = Shard::of(&"sheets".parse().unwrap());
+    let old_leases = leases(3, platform.address());
+    hold(&old_leases, shard).await;
+    old_leases.release().await;
     let holder_leases = leases(0, platform.address());
     hold(&holder_leases, shard).await;
     let other_leases = leases(1, platform.address());
     let (holder_links, _inbox) = links(0, &platform).await;
     let (other_links, _other_inbox) = links(1, &platform).await;
-    confirm(&holder_links);
     let service = vec![subject("sheets", 2, unused())];
     let holder = Asking::start(&holder_leases, holder_links, service.clone());
     let other = Asking::start(&other_leases, other_links, service);
@@ -200,9 +193,6 @@
         answer_queries(entry.shares.clone(), inbox);
         entries.push((entry, links));
     }
-    // No holder before this one can have granted a share of the service that
-    // is put now.
-    confirm(&holder_links);
     for (_, links) in &entries {
         let is_holder = |peer: &Peer| peer.connected && peer.instance == instance(0);
         until(|| links.peers().iter().any(is_holder)).await;
