Let load move from a failed entry without refusing it

* Calls with keys of the killed entry ended as unknown, because nobody else decides on them.
Each address now carries a prefix of its own, and a caller that was refused the connection uses that of the next address.
* An address answer from the first second named one entry only and was kept for its time to live.
The caller asks again once its addresses are used up.
* The killed entry held up to all of a small class limit for 30 s, or was the holder that grants shares.
An entry now takes its part of the limits after two requests that the holder can't satisfy for such a reason.

--- a/crates/admin/src/discovery.rs
+++ b/crates/admin/src/discovery.rs
@@ -37,6 +37,9 @@
     /// Whether the callers of the service are steered to it; the others are
     /// fallbacks.
     steered: bool,
+    /// Prefix for idempotency keys of requests that are sent to it first, which
+    /// it decides on; absent while it is not known well enough.
+    key_prefix: Option<String>,
 }
 
 #[derive(Serialize, JsonSchema)]
@@ -49,8 +52,9 @@
     /// their order.
     preferred: usize,
     addresses: Vec<Destination>,
-    /// Prefix for idempotency keys, which the entry of the first address decides
-    /// on; absent while that entry is not known well enough.
+    /// Prefix of the first address. A caller that moves to another address
+    /// before it sent a request anywhere uses the prefix of that one: the first
+    /// entry may be gone, and nobody else decides on its keys.
     key_prefix: Option<String>,
 }
 
@@ -89,6 +93,7 @@
                 instance: entry.instance,
                 zone: entry.zone,
                 steered: index < order.steered,
+                key_prefix: backend.key_prefix(instance),
             })
         })
         .collect();
@@ -96,9 +101,7 @@
         let message = "no entry that this instance hears is ready";
         return Err(Refusal::new(Kind::Unavailable, message));
     }
-    // Callers send to the first address, so its entry decides on their keys
-    // without asking another one.
-    let key_prefix = backend.key_prefix(&addresses[0].instance);
+    let key_prefix = addresses[0].key_prefix.clone();
     Ok(HttpResponseOk(Answer {
         service,
         ttl_ms: steering.ttl_ms,
--- a/crates/balance/src/allowance.rs
+++ b/crates/balance/src/allowance.rs
@@ -49,8 +49,6 @@
 struct Grant {
     share: Share,
     expires: Instant,
-    /// Whether the entry took it itself because nobody could grant one.
-    own: bool,
 }
 
 /// A call that waits for a larger share; dropping it ends the wait.
@@ -85,21 +83,20 @@
     /// Adds a grant to the fixed share until `expires`; replaces the last one.
     pub fn grant(&self, share: Share, expires: Instant) {
         self.change(|state| {
-            state.grant = Some(Grant {
-                share,
-                expires,
-                own: false,
-            });
+            state.grant = Some(Grant { share, expires });
         });
     }
 
-    /// Takes the place's part of the whole limit until `expires`, unless a
-    /// grant is in force. For a store outage, in which nothing can be granted.
+    /// Takes the place's part of the whole limit until `expires`, where the
+    /// grant in force is smaller. For times in which nobody can grant more.
     pub fn bridge(&self, expires: Instant) {
         let now = Instant::now();
         self.change(|state| {
-            let granted = state.grant(now).is_some_and(|grant| !grant.own);
-            if let Some(place) = state.place.filter(|_| !granted) {
+            let granted = state
+                .grant(now)
+                .map(|grant| grant.share)
+                .unwrap_or_default();
+            if let Some(place) = state.place {
                 let fixed = state.fixed();
                 let part = |limit, fixed| place.part(limit).saturating_sub(fixed);
                 let share = Share {
@@ -107,9 +104,8 @@
                     per_second: part(state.limits.max_per_second, fixed.per_second),
                 };
                 state.grant = Some(Grant {
-                    share,
+                    share: share.max(granted),
                     expires,
-                    own: true,
                 });
             }
         });
--- a/crates/entry/src/statement.rs
+++ b/crates/entry/src/statement.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use carobdrift_balance::Allowance;
-use carobdrift_catalog::{Catalog, Standing};
+use carobdrift_catalog::Catalog;
 use carobdrift_idempotency::Ledger;
-use carobdrift_measure::{Subjects, VALIDITY};
+use carobdrift_measure::Subjects;
 use carobdrift_membership::{Links, Serving};
 use carobdrift_proxy::Services;
 use carobdrift_units::Service;
@@ -68,24 +68,19 @@
                     rates: rates.busiest(),
                 });
                 if number % LIMIT_INTERVALS == 0 {
-                    self.divide_limits(standing);
+                    self.divide_limits();
                 }
             }
         });
     }
 
-    /// States to which services callers are steered here. In a store outage,
-    /// when no share can be granted, these take their part of the whole limit.
-    fn divide_limits(&self, standing: Standing) {
+    /// States to which services callers are steered here.
+    fn divide_limits(&self) {
         let candidates = self.steered.candidates(&self.links);
-        let expires = tokio::time::Instant::now() + VALIDITY;
         for subject in self.subjects.borrow().iter() {
             let place = self.steered.place(&subject.document, &candidates);
             for (_, allowance) in subject.pool.allowances() {
                 allowance.place(place);
-                if standing == Standing::Outage {
-                    allowance.bridge(expires);
-                }
             }
         }
         let entries = u32::try_from(self.links.cell_size()).unwrap_or(u32::MAX);
--- a/crates/measure/src/grants.rs
+++ b/crates/measure/src/grants.rs
@@ -15,6 +15,9 @@
 /// the 100 ms for which a call waits.
 const RECALL_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time within which entries follow a recall; a few round trips.
+const RECALL_LIMIT: Duration = Duration::from_millis(100);
+
 /// Books by service.
 #[derive(Debug)]
 pub(crate) struct Grants {
@@ -29,6 +32,8 @@
     /// Start of the tenure.
     since: Instant,
     recalled: Option<Instant>,
+    /// Since when entries that ask get less than their fair part.
+    squeezed: Option<Instant>,
 }
 
 impl Grants {
@@ -54,6 +59,7 @@
             book: Book::default(),
             since,
             recalled: None,
+            squeezed: None,
         };
         let open = self.books.entry(ask.service.clone()).or_insert_with(new);
         if open.since != since {
@@ -82,12 +88,25 @@
                 granted: convert::portion(granted),
             });
         }
+        open.squeezed = match open.squeezed {
+            _ if !open.book.is_squeezed() => None,
+            None => Some(now),
+            since => since,
+        };
         Some(Grant {
             service: ask.service.clone(),
             limits,
         })
     }
 
+    /// Whether an entry holds on to a share of a service's limits that others
+    /// are due, although it was told to state anew what it needs. It has failed
+    /// or can't be reached, and its share is free only once it has expired.
+    pub(crate) fn is_blocked(&self, service: &Service, now: Instant) -> bool {
+        let squeezed = self.books.get(service).and_then(|open| open.squeezed);
+        squeezed.is_some_and(|since| now >= since + RECALL_LIMIT)
+    }
+
     /// Whether the entries are to state anew what they hold of a service's
     /// limits, because one of them got too little.
     pub(crate) fn recall(&mut self, service: &Service, now: Instant) -> bool {
--- a/crates/measure/src/holder.rs
+++ b/crates/measure/src/holder.rs
@@ -43,6 +43,7 @@
         let mut granted = Vec::new();
         let mut recalled = Vec::new();
         let mut held = false;
+        let mut all_settled = true;
         for ask in services {
             let service = &ask.service;
             let Some(tenure) = self.leases.tenure(Shard::of(service)) else {
@@ -56,6 +57,7 @@
             let mut grants = self.grants.lock().unwrap_or_else(PoisonError::into_inner);
             let grant = subject
                 .and_then(|s| grants.grant(&s.document, tenure.since, settled, asker, ask, now));
+            all_settled &= settled && !grants.is_blocked(service, now);
             if grants.recall(service, now) {
                 recalled.push(service.clone());
             }
@@ -73,6 +75,7 @@
             (true, false) => Answer::Share {
                 services: granted,
                 valid_ms: u64::try_from(VALIDITY.as_millis()).unwrap_or(u64::MAX),
+                settled: all_settled,
             },
         };
         Reply { answer, recalled }
--- a/crates/measure/src/shares.rs
+++ b/crates/measure/src/shares.rs
@@ -35,6 +35,10 @@
 /// Time within which a request must be answered.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Failed requests in a row after which an entry takes its part of the limits
+/// itself. A single one may be a link that is being replaced.
+const FAILURES: u32 = 2;
+
 /// Services in one query, so that it fits into a frame.
 const SERVICES: usize = 64;
 
@@ -64,6 +68,8 @@
     Sufficient,
     /// Less than what was wanted is granted.
     Partial,
+    /// The holder only renews what is held.
+    Unsettled,
     /// Not all services were answered.
     Unanswered,
 }
@@ -122,6 +128,7 @@
         let mut refresh = Instant::now();
         let mut pause = SHORTEST_PAUSE;
         let mut recalled = false;
+        let mut failures = 0;
         loop {
             let whole = refresh <= Instant::now();
             let served: Vec<(Service, Allowances)> = {
@@ -145,8 +152,15 @@
             pause = match result {
                 Outcome::Sufficient => SHORTEST_PAUSE,
                 _ if recalled => pause,
-                Outcome::Partial | Outcome::Unanswered => (pause * 2).min(LONGEST_PAUSE),
+                _ => (pause * 2).min(LONGEST_PAUSE),
+            };
+            failures = match result {
+                Outcome::Sufficient | Outcome::Partial => 0,
+                Outcome::Unsettled | Outcome::Unanswered => failures + 1,
             };
+            if failures >= FAILURES {
+                bridge(&asking, sent);
+            }
             recalled = false;
             if result == Outcome::Unanswered {
                 refresh = sent + pause;
@@ -182,10 +196,13 @@
         };
         let mut outcome = Outcome::Sufficient;
         for asks in asks.chunks(SERVICES) {
-            let Some(grants) = self.exchange(&holder, asks, asking).await else {
+            let Some((grants, settled)) = self.exchange(&holder, asks, asking).await else {
                 return Outcome::Unanswered;
             };
             outcome = outcome.max(judge(asks, &grants));
+            if outcome == Outcome::Partial && !settled {
+                outcome = Outcome::Unsettled;
+            }
             // Others get what is no longer used once that is stated.
             let reduced = grants.iter().filter(|grant| is_reduced(asks, grant));
             let reduced = reduced.filter_map(|grant| asking.get_key_value(&grant.service));
@@ -203,9 +220,9 @@
         holder: &Instance,
         asks: &[Ask],
         asking: &HashMap<Service, Allowances>,
-    ) -> Option<Vec<Grant>> {
+    ) -> Option<(Vec<Grant>, bool)> {
         let sent = Instant::now();
-        let (grants, validity) = self.query(holder, asks).await?;
+        let (grants, validity, settled) = self.query(holder, asks).await?;
         for grant in &grants {
             let allowances = asking.get(&grant.service);
             for (class, allowance) in allowances.into_iter().flatten() {
@@ -214,10 +231,10 @@
                 }
             }
         }
-        Some(grants)
+        Some((grants, settled))
     }
 
-    async fn query(&self, holder: &Instance, asks: &[Ask]) -> Option<(Vec<Grant>, Duration)> {
+    async fn query(&self, holder: &Instance, asks: &[Ask]) -> Option<(Vec<Grant>, Duration, bool)> {
         let owner = self.leases.owner();
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let answer = if *holder == owner.instance {
@@ -242,8 +259,13 @@
             }
         };
         match answer {
-            Answer::Share { services, valid_ms } => {
-                Some((services, Duration::from_millis(valid_ms).min(VALIDITY)))
+            Answer::Share {
+                services,
+                valid_ms,
+                settled,
+            } => {
+                let validity = Duration::from_millis(valid_ms).min(VALIDITY);
+                Some((services, validity, settled))
             }
             _ => None,
         }
@@ -290,6 +312,13 @@
     })
 }
 
+/// Takes this entry's part of the limits, because nobody can grant it.
+fn bridge(asking: &HashMap<Service, Allowances>, sent: Instant) {
+    for (_, allowance) in asking.values().flatten() {
+        allowance.bridge(sent + VALIDITY);
+    }
+}
+
 fn judge(asks: &[Ask], grants: &[Grant]) -> Outcome {
     if grants.len() < asks.len() {
         Outcome::Unanswered
--- a/crates/replay/src/compare/direct.rs
+++ b/crates/replay/src/compare/direct.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carobdrift_test_support::caller::Call;
+use carobdrift_test_support::caller::{Call, Key};
 use carobdrift_test_support::target::Faults;
 use http::Method;
 
@@ -52,7 +52,7 @@
         method: Method::GET,
         path: bench.direct_path(&direct.service),
         body: Bytes::new(),
-        key: None,
+        key: Key::None,
         token: String::new(),
         deadline: DEADLINE,
     };
--- a/crates/test-support/src/caller.rs
+++ b/crates/test-support/src/caller.rs
@@ -53,13 +53,24 @@
     /// Body.
     pub body: Bytes,
     /// Idempotency key.
-    pub key: Option<String>,
+    pub key: Key,
     /// Token by which the answer and the target's record are recognised.
     pub token: String,
     /// Deadline that is passed to the entry.
     pub deadline: Duration,
 }
 
+/// Idempotency key of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Key {
+    /// None.
+    None,
+    /// A fresh one that the entry that the call is sent to decides on.
+    Fresh,
+    /// A given one.
+    Given(String),
+}
+
 /// A whole answer.
 #[derive(Debug)]
 pub struct Answer {
@@ -97,12 +108,12 @@
     #[serde(rename = "addresses")]
     listed: Vec<Listed>,
     ttl_ms: u64,
-    key_prefix: Option<String>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
 struct Listed {
     address: SocketAddr,
+    key_prefix: Option<String>,
 }
 
 #[derive(Debug, Clone)]
@@ -152,17 +163,17 @@
         format!("{}-{number}-{:x}", self.shared.zone, rand::random::<u64>())
     }
 
-    /// A fresh idempotency key under the prefix that the system issued.
+    /// A fresh idempotency key that the first entry for a service decides on.
     ///
     /// # Errors
     ///
     /// Fails when no entry answers.
     pub async fn key(&self, service: &str) -> Result<Option<String>, Error> {
         let addresses = self.addresses(service).await?;
-        let number = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
         Ok(addresses
-            .key_prefix
-            .map(|prefix| format!("{prefix}.{number}")))
+            .listed
+            .first()
+            .and_then(|listed| self.fresh_key(listed)))
     }
 
     /// Addresses to use for a service, in order.
@@ -186,17 +197,55 @@
     /// Fails when no entry gives a whole answer; the request may have run
     /// unless the failure says that nothing was sent.
     pub async fn send(&self, call: &Call) -> Result<Answer, Error> {
-        let mut last = Error::NoAddress;
-        for entry in self.entries(&call.service).await? {
-            match self.send_to(entry, call).await {
-                Err(error @ Error::Connect(_)) => {
-                    self.forget(&call.service);
-                    last = error;
+        let mut call = call.clone();
+        self.send_keyed(&mut call).await
+    }
+
+    /// Like [`Caller::send`]; a fresh key is replaced by the one that was sent,
+    /// so that the call can be sent again.
+    ///
+    /// # Errors
+    ///
+    /// See [`Caller::send`].
+    pub async fn send_keyed(&self, call: &mut Call) -> Result<Answer, Error> {
+        let fresh = call.key == Key::Fresh;
+        let mut tried = Vec::new();
+        // Once the addresses are used up, the system is asked for others. The
+        // first answer may be from a time when fewer entries were known.
+        while let Some(listed) = self.untried(&call.service, &tried).await? {
+            if fresh {
+                // Nothing was sent under the last key.
+                call.key = self.fresh_key(&listed).map_or(Key::None, Key::Given);
+            }
+            match self.send_to(listed.address, call).await {
+                Err(Error::Connect(_)) => tried.push(listed.address),
+                other => {
+                    if !tried.is_empty() {
+                        self.forget(&call.service);
+                    }
+                    return other;
                 }
-                other => return other,
             }
         }
-        Err(last)
+        Err(tried
+            .last()
+            .map_or(Error::NoAddress, |entry| Error::Connect(*entry)))
+    }
+
+    /// The first address that was not tried yet.
+    async fn untried(&self, service: &str, tried: &[SocketAddr]) -> Result<Option<Listed>, Error> {
+        let is_untried = |listed: &Listed| !tried.contains(&listed.address);
+        let known = self.addresses(service).await?.listed;
+        if let Some(listed) = known.into_iter().find(is_untried) {
+            return Ok(Some(listed));
+        }
+        self.forget(service);
+        Ok(self
+            .addresses(service)
+            .await?
+            .listed
+            .into_iter()
+            .find(is_untried))
     }
 
     /// Sends a call to a given entry.
@@ -214,7 +263,7 @@
                 "carobdrift-deadline-ms",
                 call.deadline.as_millis().to_string(),
             );
-        if let Some(key) = &call.key {
+        if let Key::Given(key) = &call.key {
             request = request.header("idempotency-key", key);
         }
         let request = request.body(Full::new(call.body.clone()))?;
@@ -257,6 +306,12 @@
         self.cache().remove(service);
     }
 
+    fn fresh_key(&self, listed: &Listed) -> Option<String> {
+        let prefix = listed.key_prefix.as_ref()?;
+        let number = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
+        Some(format!("{prefix}.{number}"))
+    }
+
     async fn addresses(&self, service: &str) -> Result<Addresses, Error> {
         if let Some(cached) = self.cache().get(service)
             && cached.until > Instant::now()
--- a/crates/test-support/src/load.rs
+++ b/crates/test-support/src/load.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use crate::caller::{Answer, Call, Caller, Error};
+use crate::caller::{Answer, Call, Caller, Error, Key};
 use bytes::Bytes;
 use http::Method;
 use rand::rngs::SmallRng;
@@ -63,7 +63,7 @@
     pub latency: Duration,
     /// How it ended.
     pub end: End,
-    /// Reason that the system stated, if any.
+    /// Reason that the system stated, or what failed at the caller.
     pub reason: Option<String>,
 }
 
@@ -130,24 +130,19 @@
 }
 
 async fn call(stream: &Stream, caller: &Caller, due: Duration, moment: Instant) -> Record {
-    let key = if stream.keyed {
-        caller.key(&stream.service).await.ok().flatten()
-    } else {
-        None
-    };
-    let call = Call {
+    let mut call = Call {
         service: stream.service.clone(),
         method: stream.method.clone(),
         path: stream.path.clone(),
         body: Bytes::new(),
-        key,
+        key: if stream.keyed { Key::Fresh } else { Key::None },
         token: caller.token(),
         deadline: DEADLINE,
     };
-    let first = caller.send(&call).await;
+    let first = caller.send_keyed(&mut call).await;
     let (mut end, mut reason) = judge(&first);
     let latency = moment.elapsed();
-    if stream.keyed && call.key.is_some() && matches!(end, End::Unknown | End::Broken) {
+    if stream.keyed && call.key != Key::None && matches!(end, End::Unknown | End::Broken) {
         (end, reason) = send_again(caller, &call, end, reason).await;
     }
     Record {
@@ -193,7 +188,7 @@
             };
             (end, answer.reason().map(str::to_owned))
         }
-        Err(Error::Connect(_) | Error::NoAddress | Error::Request(_)) => (End::Refused, None),
-        Err(Error::Broken(_)) => (End::Broken, None),
+        Err(error @ Error::Broken(_)) => (End::Broken, Some(error.to_string())),
+        Err(error) => (End::Refused, Some(error.to_string())),
     }
 }
--- a/crates/wire/src/query.rs
+++ b/crates/wire/src/query.rs
@@ -91,6 +91,10 @@
         /// Milliseconds for which the grants hold, counted from the moment at
         /// which the query was sent.
         valid_ms: u64,
+        /// Whether the holder can divide the limits. One that took the lease
+        /// over from another only renews what is held for a while, and the
+        /// share of an entry that failed is not free before it has expired.
+        settled: bool,
     },
     /// The peer does not hold the lease that the question is for.
     NotHolder,
--- a/crates/wire/tests/all/codec.rs
+++ b/crates/wire/tests/all/codec.rs
@@ -79,6 +79,7 @@
                     }],
                 }],
                 valid_ms: 30_000,
+                settled: true,
             },
         },
         Frame::Query {
