Require a majority of the introduced entries for an edit too

An entry whose instance list lagged showed itself as the only member of its cell and accepted edits as a majority of one, although two peers had introduced themselves. An edit now needs more than half of the listed entries and more than half of all that are known.

--- a/crates/catalog/src/edit.rs
+++ b/crates/catalog/src/edit.rs
@@ -15,7 +15,7 @@
 use crate::error::EditError;
 use crate::history::keep;
 use crate::spread::spread;
-use crate::standing::{count_heard, majority};
+use crate::standing::Count;
 use crate::store::{
     ChangeLog, DocumentRow, EditRow, Outcome, StoreError, document_key, edit_key, log_key,
     read_document, read_edit, read_log,
@@ -96,8 +96,7 @@
         .state
         .mark(outcome.revision, service, outcome.version);
     keep(shared, copy.clone());
-    let in_force = spread(shared, &copy, outcome.revision).await;
-    let cell_size = shared.links.cell_size();
+    let (in_force, cell_size) = spread(shared, &copy, outcome.revision).await;
     log::info!(target: "catalog", "edit {} made version {} of {service}, in force on {in_force} of {cell_size} entries", edit.id, outcome.version);
     Ok(Accepted {
         outcome,
@@ -164,12 +163,16 @@
 /// Requires that more than half of the cell is heard. Any majority that later
 /// serves without the store then shares a member with this one.
 fn check_quorum(shared: &Shared) -> Result<(), EditError> {
-    let heard = count_heard(&shared.links.peers(), QUORUM_WINDOW, Instant::now());
-    let cell_size = shared.links.cell_size();
-    if heard >= majority(cell_size) {
+    let peers = shared.links.peers();
+    let all = Count::all(&peers, shared.links.cell_size());
+    let heard = Count::heard(&peers, QUORUM_WINDOW, Instant::now());
+    if heard.is_majority_of(all) {
         Ok(())
     } else {
-        Err(EditError::NoQuorum { heard, cell_size })
+        Err(EditError::NoQuorum {
+            heard: heard.known,
+            cell_size: all.known,
+        })
     }
 }
 
--- a/crates/catalog/src/spread.rs
+++ b/crates/catalog/src/spread.rs
@@ -9,18 +9,25 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::catalog::Shared;
-use crate::standing::majority;
+use crate::standing::Count;
 
 /// Longest time for which an operator waits for a majority.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Hands a document to every peer. Returns the number of entries, itself
 /// included, that have it in force once they are a majority of the cell, or
-/// after [`TIMEOUT`]. The hand-over goes on for the rest.
-pub(crate) async fn spread(shared: &Arc<Shared>, copy: &Copy, revision: Revision) -> usize {
+/// after [`TIMEOUT`], and the number of entries of the cell. The hand-over goes
+/// on for the rest.
+pub(crate) async fn spread(
+    shared: &Arc<Shared>,
+    copy: &Copy,
+    revision: Revision,
+) -> (usize, usize) {
     let deadline = Instant::now() + TIMEOUT;
     let (done, mut results) = mpsc::unbounded_channel();
-    for peer in shared.links.peers() {
+    let peers = shared.links.peers();
+    let all = Count::all(&peers, shared.links.cell_size());
+    for peer in peers {
         if !peer.connected {
             continue;
         }
@@ -47,17 +54,12 @@
         });
     }
     drop(done);
-    let needed = majority(shared.links.cell_size());
-    let mut members = 1;
-    let mut in_force = 1;
-    while members < needed {
+    let mut in_force = Count::SELF;
+    while !in_force.is_majority_of(all) {
         match timeout_at(deadline, results.recv()).await {
-            Ok(Some(member)) => {
-                in_force += 1;
-                members += usize::from(member);
-            }
+            Ok(Some(member)) => in_force.add(member),
             Ok(None) | Err(_) => break,
         }
     }
-    in_force
+    (in_force.known, all.known)
 }
--- a/crates/catalog/src/standing.rs
+++ b/crates/catalog/src/standing.rs
@@ -54,12 +54,50 @@
     cell_size / 2 + 1
 }
 
-/// Members of the cell heard within `window`, this entry included.
-pub(crate) fn count_heard(peers: &[Peer], window: Duration, now: Instant) -> usize {
-    let heard = peers
-        .iter()
-        .filter(|peer| peer.member && peer.heard_within(window, now));
-    heard.count() + 1
+/// A number of entries, this entry included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Count {
+    /// Entries on the instance list.
+    pub(crate) members: usize,
+    /// Entries that are known from the list or from their own introduction.
+    pub(crate) known: usize,
+}
+
+impl Count {
+    /// This entry alone.
+    pub(crate) const SELF: Self = Self {
+        members: 1,
+        known: 1,
+    };
+
+    /// All entries of the cell.
+    pub(crate) fn all(peers: &[Peer], cell_size: usize) -> Self {
+        Self {
+            members: cell_size,
+            known: cell_size.max(peers.len() + 1),
+        }
+    }
+
+    /// Entries heard within `window`.
+    pub(crate) fn heard(peers: &[Peer], window: Duration, now: Instant) -> Self {
+        let mut count = Self::SELF;
+        for peer in peers.iter().filter(|peer| peer.heard_within(window, now)) {
+            count.add(peer.member);
+        }
+        count
+    }
+
+    pub(crate) fn add(&mut self, member: bool) {
+        self.known += 1;
+        self.members += usize::from(member);
+    }
+
+    /// Whether these are more than half of `all`. Both counts must be, because
+    /// a list that lags shows too few entries: one that shows this entry alone
+    /// would make it a majority of its own.
+    pub(crate) fn is_majority_of(self, all: Self) -> bool {
+        self.members >= majority(all.members) && self.known >= majority(all.known)
+    }
 }
 
 /// Moment until which the standing `Outage` holds; `None` when it does not.
--- a/crates/catalog/tests/all/edit.rs
+++ b/crates/catalog/tests/all/edit.rs
@@ -9,7 +9,7 @@
 use carobdrift_units::{Revision, Service, Version};
 
 use crate::fixture::{
-    BOUND, accept, cell, client, cut_peers, edit, set_down, sheets, stand_in, until,
+    BOUND, accept, cell, client, cut_peers, edit, set_down, sheets, stand_in, start, until,
 };
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -270,6 +270,46 @@
     assert_eq!(stand_in.row("changes/main").unwrap().version, 1);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_list_that_lags_makes_no_majority_of_one() {
+    let stand_in = stand_in().await;
+    let mut nodes = vec![start(&stand_in, "entry-0").await];
+    let fault = Fault {
+        stale_instances: true,
+        ..Fault::default()
+    };
+    stand_in.set_fault(fault).await;
+    for name in ["entry-1", "entry-2"] {
+        nodes.push(start(&stand_in, name).await);
+    }
+    until("entry-0 hears the others", BOUND, || {
+        nodes[0]
+            .links
+            .peers()
+            .iter()
+            .filter(|peer| peer.heard.is_some())
+            .count()
+            == 2
+    })
+    .await;
+    assert_eq!(nodes[0].links.cell_size(), 1);
+
+    let accepted = accept(&nodes[0], edit("first", &sheets(), 0)).await;
+    assert!(accepted.in_force >= 2 && accepted.cell_size == 3);
+
+    cut_peers(&nodes, 0);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let result = nodes[0].catalog.edit(edit("alone", &sheets(), 1)).await;
+    let refused = matches!(
+        result,
+        Err(EditError::NoQuorum {
+            heard: 1,
+            cell_size: 3
+        })
+    );
+    assert!(refused, "{result:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn past_versions_can_be_read_on_every_entry() {
     let stand_in = stand_in().await;
--- a/crates/catalog/tests/all/fixture.rs
+++ b/crates/catalog/tests/all/fixture.rs
@@ -214,6 +214,7 @@
     until("the cell is up", Duration::from_secs(8), || {
         nodes.iter().all(|node| {
             node.is_confirmed()
+                && node.links.cell_size() == count
                 && node
                     .links
                     .peers()
