Require a majority of the known entries for serving in an outage too

An entry whose list lagged and showed itself alone, and that then lost its peers, the store and the list, would have served on as a majority of one. The rule of edits now applies to the standing Outage as well. Peers that are on no list are forgotten only once a list that was read 10 s after they became unreachable does not show them; before, they were forgotten without a new list.

--- a/crates/catalog/src/standing.rs
+++ b/crates/catalog/src/standing.rs
@@ -50,7 +50,7 @@
 }
 
 /// Number of entries that make a majority of a cell.
-pub(crate) fn majority(cell_size: usize) -> usize {
+fn majority(cell_size: usize) -> usize {
     cell_size / 2 + 1
 }
 
@@ -130,13 +130,21 @@
         if status.store_reachable {
             return None;
         }
-        if peer.member && status.recovered {
-            votes.push(heard);
+        if status.recovered {
+            votes.push((heard, peer.member));
         }
     }
     votes.sort_unstable_by(|a, b| b.cmp(a));
-    match majority(cell_size) {
-        0 | 1 => Some(now + VALIDITY),
-        needed => votes.get(needed - 2).map(|heard| *heard + VALIDITY),
+    let all = Count::all(peers, cell_size);
+    let mut count = Count::SELF;
+    if count.is_majority_of(all) {
+        return Some(now + VALIDITY);
     }
+    for (heard, member) in votes {
+        count.add(member);
+        if count.is_majority_of(all) {
+            return Some(heard + VALIDITY);
+        }
+    }
+    None
 }
--- a/crates/catalog/tests/all/edit.rs
+++ b/crates/catalog/tests/all/edit.rs
@@ -308,6 +308,15 @@
         })
     );
     assert!(refused, "{result:?}");
+
+    // Nor does it serve alone once it has lost the store and its list as well.
+    nodes[0].cut_store();
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(13) {
+        let serves = nodes[0].catalog.standing().serves();
+        assert!(!serves || start.elapsed() < BOUND + Duration::from_millis(150));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -13,8 +13,8 @@
 use crate::outbound::{Outbound, lock};
 use crate::peer::Peer;
 
-/// Time after which a peer that is not on the instance list and can't be
-/// reached is forgotten.
+/// Time for which a peer must be unreachable and missing from the instance list
+/// before it is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
 /// The known peers of an entry.
@@ -28,6 +28,8 @@
     peers: BTreeMap<Instance, Known>,
     /// Entries on the latest instance list, the own one included.
     listed: Option<usize>,
+    /// When the latest instance list was read.
+    read: Option<Instant>,
     /// Largest cell size that a peer stated.
     stated: u32,
 }
@@ -57,6 +59,7 @@
     pub(crate) fn apply_list(&self, rows: Vec<Entry>) -> Vec<Instance> {
         let mut table = lock(&self.state);
         table.listed = Some(rows.len() + 1);
+        table.read = Some(Instant::now());
         for known in table.peers.values_mut() {
             known.peer.member = false;
         }
@@ -150,14 +153,17 @@
         }
     }
 
-    /// Forgets a peer that can't be reached if it is on no instance list.
-    /// Returns whether it was forgotten.
+    /// Forgets a peer that can't be reached and left the instance list. While
+    /// no list can be read it is kept, so that an isolated entry does not take
+    /// itself for the whole cell. Returns whether it was forgotten.
     pub(crate) fn forget_unreachable(&self, instance: &Instance) -> bool {
         let mut table = lock(&self.state);
+        let read = table.read;
         let forget = table.peers.get(instance).is_some_and(|known| {
             known.listed_at.is_none()
                 && known.outbound.is_none()
-                && known.lost.elapsed() >= FORGET_AFTER
+                && read
+                    .is_some_and(|read| read.saturating_duration_since(known.lost) >= FORGET_AFTER)
         });
         if forget {
             table.peers.remove(instance);
