--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -11,6 +11,7 @@
 
 use crate::allowance::Allowance;
 use crate::call::{Call, Purpose, Shed};
+use crate::count::Stage;
 use crate::metrics::Metrics;
 use crate::node::Node;
 use crate::observation::{Departure, Evidence, Observation, Report, Sample};
@@ -28,6 +29,10 @@
 /// without an event that would say so.
 const TICK: Duration = Duration::from_millis(1);
 
+/// Time after which a hedge that the budget or the slots did not admit is tried
+/// again.
+pub const HEDGE_PAUSE: Duration = Duration::from_millis(2);
+
 /// Age up to which a probe sample is taken in.
 const SAMPLE_VALIDITY: Duration = Duration::from_secs(1);
 
@@ -142,6 +147,23 @@
         Some(self.shared.slot(ticket, node, permit))
     }
 
+    /// Waits until a hedge of a call that was just dispatched is worth sending
+    /// and possible, and takes its target. To be raced with the first attempt
+    /// and dropped with it. Returns `None` when the call is not to be hedged.
+    pub async fn hedge(&self, call: &Call, tried: &[Target]) -> Option<Slot> {
+        tokio::time::sleep(self.hedge_delay(call)?).await;
+        loop {
+            if Instant::now() >= call.deadline {
+                return None;
+            }
+            let slot = self.try_another(call, Purpose::Hedge, tried);
+            if slot.is_some() {
+                return slot;
+            }
+            tokio::time::sleep(HEDGE_PAUSE).await;
+        }
+    }
+
     /// Time after the dispatch at which a hedge is worth sending; `None` when
     /// the call is not to be hedged.
     #[must_use]
@@ -154,7 +176,22 @@
     /// evidence counts and is sent to [`Local::departures`].
     pub fn mark_leaving(&self, target: &Target, evidence: Evidence, start: Option<&str>) {
         self.shared.change(|state, now, effects| {
-            state.mark_leaving(target, evidence, start, now, effects);
+            state.mark_leaving(target, evidence, start, None, now, effects);
+        });
+    }
+
+    /// Marks a target as leaving on the word of a peer. `seen` is the document
+    /// version that was in force there: the peer may be ahead of this entry, and
+    /// adopting what it already had must not bring the target back.
+    pub fn mark_leaving_at(
+        &self,
+        target: &Target,
+        evidence: Evidence,
+        start: Option<&str>,
+        seen: Version,
+    ) {
+        self.shared.change(|state, now, effects| {
+            state.mark_leaving(target, evidence, start, Some(seen), now, effects);
         });
     }
 
@@ -191,7 +228,14 @@
                 }
             }
             if sample.draining {
-                state.mark_leaving(&sample.target, Evidence::Response, start, now, effects);
+                state.mark_leaving(
+                    &sample.target,
+                    Evidence::Response,
+                    start,
+                    None,
+                    now,
+                    effects,
+                );
             }
         });
     }
@@ -202,6 +246,23 @@
         self.shared.allowance.clone()
     }
 
+    /// This entry's shares of the service's limits and of those of its classes
+    /// that have limits.
+    #[must_use]
+    pub fn allowances(&self) -> Vec<(Option<Class>, Allowance)> {
+        let now = Instant::now();
+        let mut state = self.shared.lock();
+        let document = Arc::clone(&state.document);
+        let classes = document.classes.iter();
+        let limited = classes.filter(|c| c.max_in_flight.is_some() || c.max_per_second.is_some());
+        let mut allowances = vec![(None, self.shared.allowance.clone())];
+        for class in limited {
+            let limit = state.traffic(&class.name, now).limit.clone();
+            allowances.push((Some(class.name.clone()), limit));
+        }
+        allowances
+    }
+
     /// The policy in force.
     #[must_use]
     pub fn policy(&self) -> Policy {
@@ -219,7 +280,7 @@
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -261,9 +322,10 @@
         result
     }
 
-    async fn acquire(self: &Arc<Self>, call: &Call) -> Result<Slot, Shed> {
-        let admitted = self.change(|state, now, _| {
-            Ok(match state.admit(call, now)? {
+    /// Sends a call or lets it wait in the queue.
+    pub(crate) fn admit(self: &Arc<Self>, call: &Call, stage: Stage) -> Result<Reply, Shed> {
+        self.change(|state, now, _| {
+            Ok(match state.admit(call, stage, now)? {
                 Admitted::Sent(ticket, permit) => match state.nodes.get(&ticket.node) {
                     Some(node) => Ok(self.slot(ticket, node, permit)),
                     None => return Err(Shed::NoTarget),
@@ -275,7 +337,14 @@
                     receiver,
                 }),
             })
-        })?;
+        })
+    }
+
+    async fn acquire(self: &Arc<Self>, call: &Call) -> Result<Slot, Shed> {
+        let admitted = match self.admit(call, Stage::First) {
+            Err(Shed::Limit(scope)) => self.wait_for_share(call, scope).await?,
+            result => result?,
+        };
         match admitted {
             Ok(slot) => Ok(slot),
             Err(mut waiting) => {
@@ -307,9 +376,12 @@
     }
 }
 
+/// A slot, or the place of the call in the queue.
+pub(crate) type Reply = Result<Slot, Waiting>;
+
 /// A call that waits for its slot; dropping it leaves the queue.
 #[derive(Debug)]
-struct Waiting {
+pub(crate) struct Waiting {
     shared: Arc<Shared>,
     class: Class,
     position: Position,
--- a/crates/balance/src/tenure.rs
+++ b/crates/balance/src/tenure.rs
@@ -16,12 +16,14 @@
     start: Option<String>,
     past: VecDeque<String>,
     mark: Option<Mark>,
+    /// Document version that brought the target back last.
+    returned: Version,
 }
 
 #[derive(Debug)]
 struct Mark {
     evidence: Evidence,
-    /// Document version in force when the mark was made.
+    /// Newest document version in force where the target was seen to leave.
     version: Version,
 }
 
@@ -50,10 +52,15 @@
         self.past.iter().any(|past| past == start)
     }
 
-    /// Marks the target as leaving; returns whether the mark is new. The first
-    /// evidence counts.
+    /// Marks the target as leaving, as seen while `version` was in force;
+    /// returns whether the mark is new. The first evidence counts. What was
+    /// seen before the version that brought the target back is ignored.
     pub(crate) fn mark(&mut self, evidence: Evidence, version: Version) -> bool {
-        if self.mark.is_some() {
+        if version < self.returned {
+            return false;
+        }
+        if let Some(mark) = &mut self.mark {
+            mark.version = mark.version.max(version);
             return false;
         }
         self.mark = Some(Mark { evidence, version });
@@ -81,6 +88,9 @@
     }
 
     /// Takes in a document version; returns whether the target has come back.
+    /// A version that lists the target as active only answers a mark that came
+    /// from a document: an unrelated edit says nothing about a process that
+    /// stated by itself that it is leaving.
     pub(crate) fn reload(&mut self, version: Version, active: bool) -> bool {
         if !active {
             self.mark(Evidence::Document, version);
@@ -89,9 +99,10 @@
         if self
             .mark
             .as_ref()
-            .is_some_and(|mark| version > mark.version)
+            .is_some_and(|mark| mark.evidence == Evidence::Document && version > mark.version)
         {
             self.mark = None;
+            self.returned = version;
             return true;
         }
         false
--- a/crates/balance/tests/all/drain.rs
+++ b/crates/balance/tests/all/drain.rs
@@ -99,6 +99,7 @@
         target: target(0),
         evidence: Evidence::Response,
         start: Some("a".to_owned()),
+        version: Version(1),
     };
     assert_eq!(told.try_recv(), Ok(departure));
     assert!(told.try_recv().is_err());
@@ -108,8 +109,9 @@
     matches!(standing(pool, 0), Standing::Leaving(_))
 }
 
-/// Fails when a target returns on anything but a new process or a newer
-/// document, or when a late statement of the old process marks the new one.
+/// Fails when a target returns on anything but a new process, or, after a
+/// document retired it, a newer document; or when a late statement of the old
+/// process marks the new one.
 #[tokio::test(start_paused = true)]
 async fn a_target_returns_on_stronger_evidence_only() {
     let document = Arc::new(fixture::document(Policy::Adaptive, 2, 2));
@@ -133,8 +135,37 @@
 
     pool.mark_leaving(&target(0), Evidence::List, Some("b"));
     assert!(leaving(&pool));
-    pool.reload(document, Version(2));
+    pool.reload(Arc::clone(&document), Version(2));
+    assert!(leaving(&pool), "an unrelated edit proves nothing");
+    pool.learn_start(&target(0), "c");
     assert!(!leaving(&pool));
+
+    let mut retired = (*document).clone();
+    retired.targets[0].state = State::Leaving;
+    pool.reload(Arc::new(retired), Version(3));
+    assert!(leaving(&pool));
+    pool.reload(document, Version(4));
+    assert!(!leaving(&pool));
+}
+
+/// Fails when an entry that is behind takes the version that its peer already
+/// had for newer evidence, or when a late repetition undoes a return.
+#[tokio::test(start_paused = true)]
+async fn the_version_at_the_peer_decides_over_the_return() {
+    let document = Arc::new(fixture::document(Policy::Adaptive, 2, 2));
+    let pool = fixture::open((*document).clone());
+    let mark = || pool.mark_leaving_at(&target(0), Evidence::Document, None, Version(2));
+
+    pool.mark_leaving(&target(0), Evidence::Document, None);
+    mark();
+    pool.reload(Arc::clone(&document), Version(2));
+    assert!(leaving(&pool));
+
+    pool.reload(document, Version(3));
+    mark();
+    assert!(!leaving(&pool));
+    pool.mark_leaving(&target(0), Evidence::List, None);
+    assert!(leaving(&pool));
 }
 
 /// Fails when a new process returns a target that the document retires.
--- a/crates/membership/src/links.rs
+++ b/crates/membership/src/links.rs
@@ -121,6 +121,12 @@
         &self.shared.hello
     }
 
+    /// What this entry states of itself now.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        self.shared.status()
+    }
+
     /// Address on which the peer listener listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/crates/test-support/src/target/serve.rs
+++ b/crates/test-support/src/target/serve.rs
@@ -55,8 +55,14 @@
     sampler: Sampler,
     faults: Mutex<Faults>,
     start: Mutex<String>,
+    /// Time that earlier runs took beyond their service time.
+    overrun: Mutex<Duration>,
 }
 
+/// Largest time to be taken off later runs. A machine that was stopped for
+/// longer must not make the runs after it instant.
+const MAX_OVERRUN: Duration = Duration::from_millis(5);
+
 impl Shared {
     pub(super) fn new(settings: &Settings) -> Self {
         let started = Instant::now();
@@ -72,6 +78,7 @@
             sampler: Sampler::new(settings.service_time),
             faults: Mutex::new(settings.faults.clone()),
             start: Mutex::new(draw_start()),
+            overrun: Mutex::default(),
         }
     }
 
@@ -158,10 +165,10 @@
         let running = self
             .record
             .begin(format!("{} {}", head.method, head.uri), &head.headers);
-        tokio::time::sleep(self.service_time(&faults)).await;
+        self.work(self.service_time(&faults)).await;
         running.complete();
         drop(permit);
-        tokio::time::sleep(Duration::from_millis(faults.late_ms)).await;
+        pause(Duration::from_millis(faults.late_ms)).await;
         if faults.reset == Some(Reset::AfterRunning) {
             switches.reset.store(true, Ordering::Relaxed);
             return Err(Abort);
@@ -178,6 +185,23 @@
         })
     }
 
+    /// Takes the service time. What the timer adds by rounding up is taken off
+    /// the next runs, so that the mean service time is the stated one.
+    async fn work(&self, time: Duration) {
+        let saved = {
+            let mut overrun = lock(&self.overrun);
+            let saved = time.min(*overrun);
+            *overrun -= saved;
+            saved
+        };
+        let rest = time.saturating_sub(saved);
+        let begin = Instant::now();
+        pause(rest).await;
+        let beyond = begin.elapsed().saturating_sub(rest);
+        let mut overrun = lock(&self.overrun);
+        *overrun = (*overrun + beyond).min(MAX_OVERRUN);
+    }
+
     fn service_time(&self, faults: &Faults) -> Duration {
         let age = self.started.elapsed();
         let mut factor = faults.slow.unwrap_or(1.0);
@@ -291,6 +315,13 @@
     Response::from_parts(head, StreamBody::new(frames).boxed_unsync())
 }
 
+/// Sleeps, but not at all for no time: the timer rounds up to a millisecond.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 fn draw_start() -> String {
     format!("{:016x}", rand::random::<u64>())
 }
