--- a/crates/catalog/tests/all/main.rs
+++ b/crates/catalog/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod reads;
 mod recovery;
 mod standing;
+mod statement;
