--- a/tests/all/installation.rs
+++ b/tests/all/installation.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use carobdrift_test_support::caller::{Answer, Call, Caller, Error};
+use carobdrift_test_support::caller::{Answer, Call, Caller, Error, Key};
 use carobdrift_test_support::fleet::{Fleet, Service};
 use carobdrift_test_support::load::{End, Record, Stream};
 use carobdrift_test_support::target::Run;
@@ -275,7 +275,7 @@
         method: Method::GET,
         path: "/orders/7".to_owned(),
         body: bytes::Bytes::new(),
-        key: None,
+        key: Key::None,
         token: caller.token(),
         deadline: Duration::from_secs(3),
     }
@@ -285,7 +285,7 @@
     Call {
         method: Method::POST,
         path: "/orders".to_owned(),
-        key: Some(key.to_owned()),
+        key: Key::Given(key.to_owned()),
         ..view(caller)
     }
 }
