--- a/crates/membership/src/metrics.rs
+++ b/crates/membership/src/metrics.rs
@@ -20,6 +20,7 @@
     queries: IntCounterVec,
     dropped: IntCounterVec,
     bytes: IntCounterVec,
+    frames: IntCounterVec,
     lists: IntCounterVec,
     round_trip: Histogram,
     forgotten: IntCounter,
@@ -98,6 +99,11 @@
                 "Payload bytes on links",
                 "direction",
             )?,
+            frames: vector(
+                "carobdrift_link_frames_total",
+                "Frames on links",
+                "direction",
+            )?,
             lists: vector(
                 "carobdrift_instance_list_reads_total",
                 "Reads of the platform's instance list",
@@ -140,6 +146,7 @@
         self.bytes
             .with_label_values(&[direction])
             .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+        self.frames.with_label_values(&[direction]).inc();
     }
 
     pub(crate) fn count_list(&self, result: &str) {
--- a/crates/replay/src/compare/report.rs
+++ b/crates/replay/src/compare/report.rs
@@ -34,6 +34,27 @@
     pub in_force_seconds: f64,
     /// One verdict for each expectation of the trace.
     pub verdicts: Vec<Verdict>,
+    /// Seconds of a turn in which calls got no whole answer, with their number.
+    pub failures: Vec<Failures>,
+}
+
+/// Calls of one block without a whole answer, by second and reason.
+#[derive(Debug, Serialize)]
+pub struct Failures {
+    /// Service.
+    pub service: String,
+    /// Block.
+    pub block: String,
+    /// Policy and how callers were spread.
+    pub policy: String,
+    /// Second of the turn in which the calls were due.
+    pub second: u64,
+    /// Outcome as the caller saw it.
+    pub outcome: String,
+    /// Reason that the system stated, if any.
+    pub reason: String,
+    /// Number of calls.
+    pub calls: u64,
 }
 
 /// Results of one policy in one block for one service.
@@ -145,6 +166,7 @@
         false_not_run: evidence.false_not_run,
         in_force_seconds: longest.as_secs_f64(),
         verdicts: Vec::new(),
+        failures: turns.iter().flat_map(failures).collect(),
     };
     report.verdicts = trace
         .expectations
@@ -154,6 +176,40 @@
     report
 }
 
+fn failures(turns: &Turns) -> Vec<Failures> {
+    let mut counts: BTreeMap<(String, u64, String, String), u64> = BTreeMap::new();
+    for record in turns
+        .records
+        .iter()
+        .filter(|record| record.end != End::Whole)
+    {
+        let reason = match record.end {
+            End::NotRun | End::Unknown => record.reason.clone().unwrap_or_default(),
+            _ => String::new(),
+        };
+        let outcome = format!("{:?}", record.end);
+        let key = (
+            record.service.clone(),
+            record.due.as_secs(),
+            outcome,
+            reason,
+        );
+        *counts.entry(key).or_default() += 1;
+    }
+    let list = counts
+        .into_iter()
+        .map(|((service, second, outcome, reason), calls)| Failures {
+            service,
+            block: turns.block.clone(),
+            policy: turns.policy.clone(),
+            second,
+            outcome,
+            reason,
+            calls,
+        });
+    list.collect()
+}
+
 fn row(service: &str, turns: &Turns) -> Row {
     let records: Vec<&Record> = turns
         .measured
