Test fitted lines and verdicts of a replay

Nothing guarded the verdicts that decide whether a replay passes. Writing the tests showed one fault: with no probes counted for any service, the expectation on probes held. It now counts as not measured and does not hold.

A verdict is reached through Report::judge, and the types of two public fields of a report are exported; nothing else became public.

--- a/crates/replay/src/compare.rs
+++ b/crates/replay/src/compare.rs
@@ -16,7 +16,7 @@
 use crate::trace::{Block, Trace};
 use carobdrift_test_support::load::{self, Record};
 
-pub use report::{Report, Row, Verdict};
+pub use report::{AddedMs, Probes, Report, Row, Verdict};
 use setup::Bench;
 
 /// Why a replay could not be carried out.
--- a/crates/replay/src/compare/report.rs
+++ b/crates/replay/src/compare/report.rs
@@ -105,6 +105,60 @@
     pub fn holds(&self) -> bool {
         self.verdicts.iter().all(|verdict| verdict.holds)
     }
+
+    /// Judges one expectation by what the replay led to.
+    #[must_use]
+    pub fn judge(&self, expectation: &Expectation) -> Verdict {
+        match expectation {
+            Expectation::Ratio {
+                service,
+                block,
+                policy,
+                limit,
+                baseline,
+            } => {
+                let p99 = |policy: &str| {
+                    self.rows
+                        .iter()
+                        .find(|row| {
+                            &row.service == service && &row.block == block && row.policy == policy
+                        })
+                        .map_or(f64::NAN, |row| row.p99_ms)
+                };
+                let found = p99(policy) / p99(baseline);
+                verdict(
+                    format!("p99 {service} {block} {policy} <= {limit} of {baseline}"),
+                    found,
+                    *limit,
+                )
+            }
+            Expectation::ProbesWithinBudget => {
+                let over = self
+                    .probes
+                    .iter()
+                    .map(|probes| probes.most_in_one_second.saturating_sub(probes.budget))
+                    .max()
+                    .map_or(f64::NAN, number);
+                verdict("probes <= budget (excess)".to_owned(), over, 0.0)
+            }
+            Expectation::AtMost { quantity, limit } => {
+                let (name, found) = match quantity {
+                    Quantity::AddedP99 => (
+                        "added_p99_ms",
+                        self.added_ms
+                            .as_ref()
+                            .map_or(f64::NAN, |added| added.added_p99),
+                    ),
+                    Quantity::Doubled => ("doubled", number(self.doubled)),
+                    Quantity::Crossed => ("crossed", number(self.crossed)),
+                    Quantity::FalseNotRun => ("false_not_run", number(self.false_not_run)),
+                    Quantity::Lost => ("lost", number(self.lost)),
+                    Quantity::InForce => ("in_force_seconds", self.in_force_seconds),
+                };
+                verdict(format!("{name} <= {limit}"), found, *limit)
+            }
+        }
+    }
 }
 
 pub(super) fn build(
@@ -149,7 +203,7 @@
     report.verdicts = trace
         .expectations
         .iter()
-        .map(|expectation| judge(&report, expectation))
+        .map(|expectation| report.judge(expectation))
         .collect();
     report
 }
@@ -206,60 +260,6 @@
     Some(histogram)
 }
 
-fn judge(report: &Report, expectation: &Expectation) -> Verdict {
-    match expectation {
-        Expectation::Ratio {
-            service,
-            block,
-            policy,
-            limit,
-            baseline,
-        } => {
-            let p99 = |policy: &str| {
-                report
-                    .rows
-                    .iter()
-                    .find(|row| {
-                        &row.service == service && &row.block == block && row.policy == policy
-                    })
-                    .map_or(f64::NAN, |row| row.p99_ms)
-            };
-            let found = p99(policy) / p99(baseline);
-            verdict(
-                format!("p99 {service} {block} {policy} <= {limit} of {baseline}"),
-                found,
-                *limit,
-            )
-        }
-        Expectation::ProbesWithinBudget => {
-            let over = report
-                .probes
-                .iter()
-                .map(|probes| probes.most_in_one_second.saturating_sub(probes.budget))
-                .max()
-                .unwrap_or_default();
-            verdict("probes <= budget (excess)".to_owned(), number(over), 0.0)
-        }
-        Expectation::AtMost { quantity, limit } => {
-            let (name, found) = match quantity {
-                Quantity::AddedP99 => (
-                    "added_p99_ms",
-                    report
-                        .added_ms
-                        .as_ref()
-                        .map_or(f64::NAN, |added| added.added_p99),
-                ),
-                Quantity::Doubled => ("doubled", number(report.doubled)),
-                Quantity::Crossed => ("crossed", number(report.crossed)),
-                Quantity::FalseNotRun => ("false_not_run", number(report.false_not_run)),
-                Quantity::Lost => ("lost", number(report.lost)),
-                Quantity::InForce => ("in_force_seconds", report.in_force_seconds),
-            };
-            verdict(format!("{name} <= {limit}"), found, *limit)
-        }
-    }
-}
-
 /// A quantity that was not measured is no number and never holds.
 fn verdict(expectation: String, found: f64, limit: f64) -> Verdict {
     Verdict {
--- /dev/null
+++ b/crates/replay/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of fitted lines and reports.
+
+mod fit;
+mod report;
--- /dev/null
+++ b/crates/replay/tests/all/report.rs
@@ -0,0 +1,161 @@
+//! Guards against verdicts that hold although the outcome was missed or never
+//! measured.
+
+use std::collections::BTreeMap;
+
+use carobdrift_replay::compare::{Probes, Report, Row, Verdict};
+use carobdrift_replay::trace::{Expectation, Quantity};
+
+/// Changes one figure of a report.
+type Spoil = fn(&mut Report);
+
+fn row(policy: &str, p99_ms: f64) -> Row {
+    Row {
+        service: "sheets".to_owned(),
+        block: "choice".to_owned(),
+        policy: policy.to_owned(),
+        calls: 100,
+        p50_ms: 1.0,
+        p99_ms,
+        p999_ms: p99_ms,
+        not_run: 0,
+        unknown: 0,
+        broken: 0,
+        reasons: BTreeMap::new(),
+    }
+}
+
+fn report() -> Report {
+    Report {
+        rows: vec![
+            row("adaptive:steered", 50.0),
+            row("round-robin:spread", 100.0),
+        ],
+        added_ms: None,
+        probes: Vec::new(),
+        doubled: 0,
+        lost: 0,
+        crossed: 0,
+        false_not_run: 0,
+        in_force_seconds: 0.0,
+        verdicts: Vec::new(),
+    }
+}
+
+fn probes(service: &str, most_in_one_second: u64) -> Probes {
+    Probes {
+        service: service.to_owned(),
+        most_in_one_second,
+        budget: 2,
+    }
+}
+
+fn ratio(limit: f64, baseline: &str) -> Expectation {
+    Expectation::Ratio {
+        service: "sheets".to_owned(),
+        block: "choice".to_owned(),
+        policy: "adaptive:steered".to_owned(),
+        limit,
+        baseline: baseline.to_owned(),
+    }
+}
+
+fn at_most(quantity: Quantity, limit: f64) -> Expectation {
+    Expectation::AtMost { quantity, limit }
+}
+
+#[test]
+fn quantity_that_was_not_measured_never_holds() {
+    let added = report().judge(&at_most(Quantity::AddedP99, f64::MAX));
+    let baseline = report().judge(&ratio(f64::MAX, "least-in-flight:spread"));
+
+    assert!(!added.holds);
+    assert!(!baseline.holds);
+}
+
+#[test]
+fn ratio_holds_up_to_its_limit() {
+    let at_limit = report().judge(&ratio(0.5, "round-robin:spread"));
+    let above = report().judge(&ratio(0.49, "round-robin:spread"));
+
+    assert!(at_limit.holds, "{at_limit:?}");
+    assert!(!above.holds, "{above:?}");
+}
+
+#[test]
+fn ratio_of_other_services_and_blocks_is_not_taken() {
+    let mut report = report();
+    report.rows[0].block = "faults".to_owned();
+    report.rows[1].service = "draws".to_owned();
+
+    let verdict = report.judge(&ratio(f64::MAX, "round-robin:spread"));
+
+    assert!(!verdict.holds, "{verdict:?}");
+}
+
+#[test]
+fn probes_are_judged_by_the_largest_excess_of_any_service() {
+    let mut report = report();
+    report.probes = vec![probes("draws", 2), probes("sheets", 2)];
+    let within = report.judge(&Expectation::ProbesWithinBudget);
+    // Far below the budget for one service does not pay for another.
+    report.probes = vec![probes("draws", 0), probes("sheets", 5)];
+
+    let over = report.judge(&Expectation::ProbesWithinBudget);
+
+    assert!(within.holds);
+    assert!(!over.holds);
+    assert!((over.found - 3.0).abs() < 1e-9, "{over:?}");
+}
+
+#[test]
+fn probes_that_were_not_counted_never_hold() {
+    let verdict = report().judge(&Expectation::ProbesWithinBudget);
+
+    assert!(!verdict.holds, "{verdict:?}");
+}
+
+#[test]
+fn each_quantity_is_judged_by_its_own_figure() {
+    let cases: [(Quantity, Spoil); 5] = [
+        (Quantity::Doubled, |report| report.doubled = 1),
+        (Quantity::Lost, |report| report.lost = 1),
+        (Quantity::Crossed, |report| report.crossed = 1),
+        (Quantity::FalseNotRun, |report| report.false_not_run = 1),
+        (Quantity::InForce, |report| report.in_force_seconds = 1.0),
+    ];
+    for (quantity, spoil) in cases {
+        let mut report = report();
+        let clean: Vec<Verdict> = cases
+            .iter()
+            .map(|(quantity, _)| report.judge(&at_most(*quantity, 0.0)))
+            .collect();
+
+        spoil(&mut report);
+
+        assert!(clean.iter().all(|verdict| verdict.holds));
+        let broken: Vec<Quantity> = cases
+            .iter()
+            .map(|(quantity, _)| *quantity)
+            .filter(|quantity| !report.judge(&at_most(*quantity, 0.0)).holds)
+            .collect();
+        assert_eq!(broken, [quantity]);
+        assert!(report.judge(&at_most(quantity, 1.0)).holds);
+    }
+}
+
+#[test]
+fn one_broken_verdict_breaks_the_report() {
+    let mut report = report();
+    let verdict = |holds| Verdict {
+        expectation: "doubled <= 0".to_owned(),
+        found: 0.0,
+        holds,
+    };
+    report.verdicts = vec![verdict(true), verdict(true)];
+    let held = report.holds();
+    report.verdicts.push(verdict(false));
+
+    assert!(held);
+    assert!(!report.holds());
+}
