Test the caller and the load generator

The proofs rely on what the caller and the generator decide: which entry gets a call once a connection is refused, under which key, when addresses are asked anew, and which end a call is counted with. None of it had a test.

--- a/crates/test-support/tests/all/main.rs
+++ b/crates/test-support/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the stand-ins.
 
+mod caller;
 mod platform;
 mod target;
 
