--- a/crates/replay/src/compare/event.rs
+++ b/crates/replay/src/compare/event.rs
@@ -3,10 +3,9 @@
 use std::time::{Duration, Instant};
 
 use carobdrift_test_support::fleet;
-use carobdrift_test_support::platform::{Down, Fault};
+use carobdrift_test_support::platform::{Down, Fault, Lose};
 use carobdrift_test_support::target;
 use nix::sys::signal::Signal;
-use tokio::time::sleep_until;
 
 use super::Error;
 use super::setup::Bench;
@@ -29,7 +28,7 @@
     for event in pending {
         let moment = start + event.at;
         undo_until(bench, &mut undos, moment).await?;
-        sleep_until(moment.into()).await;
+        bench.watch_until(moment).await?;
         if let Some((length, undo)) = act(bench, &event.action).await? {
             undos.push((Instant::now() + length, undo));
         }
@@ -37,7 +36,7 @@
     while let Some(moment) = undos.iter().map(|(moment, _)| *moment).min() {
         undo_until(bench, &mut undos, moment + Duration::from_millis(1)).await?;
     }
-    Ok(())
+    bench.settle().await
 }
 
 async fn undo_until(
@@ -48,9 +47,12 @@
     undos.sort_by_key(|(moment, _)| *moment);
     while undos.first().is_some_and(|(moment, _)| *moment <= limit) {
         let (moment, undo) = undos.remove(0);
-        sleep_until(moment.into()).await;
+        bench.watch_until(moment).await?;
         match undo {
-            Undo::Continue(entry) => signal(bench, entry, Signal::SIGCONT)?,
+            Undo::Continue(entry) => {
+                signal(bench, entry, Signal::SIGCONT)?;
+                bench.paused.remove(&entry);
+            }
             Undo::ClearFaults(service) => {
                 set_faults(bench, &service, &target::Faults::default()).await?;
             }
@@ -64,6 +66,7 @@
         Action::Pause { entry, length } => {
             let index = *entry as usize - 1;
             signal(bench, index, Signal::SIGSTOP)?;
+            bench.paused.insert(index);
             return Ok(Some((*length, Undo::Continue(index))));
         }
         Action::Kill { entry } => {
@@ -86,6 +89,8 @@
             match fault {
                 PlatformFault::Down => faults.down = Down::Refuse,
                 PlatformFault::StaleList => faults.stale_instances = true,
+                PlatformFault::LoseReplies => faults.lose_writes = Lose::All,
+                PlatformFault::Swallow => faults.swallow_open = true,
                 PlatformFault::Clear => {}
             }
             bench
--- a/crates/replay/src/compare/setup.rs
+++ b/crates/replay/src/compare/setup.rs
@@ -1,6 +1,6 @@
 //! The installation under test.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -21,6 +21,9 @@
 /// Time within which an accepted edit is looked for on all entries.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(10);
 
+/// Time between two looks at the entries for accepted edits.
+const WATCH_PAUSE: Duration = Duration::from_millis(10);
+
 pub(super) struct Bench {
     pub(super) fleet: Fleet,
     callers: Vec<Caller>,
@@ -29,6 +32,18 @@
     paths: BTreeMap<String, String>,
     /// Entries that take part: not killed and not stopped.
     pub(super) running: Vec<usize>,
+    /// Entries that are stopped by SIGSTOP.
+    pub(super) paused: BTreeSet<usize>,
+    edits: u64,
+    watches: Vec<Watch>,
+}
+
+/// An accepted edit that is not yet seen on all running entries.
+struct Watch {
+    service: String,
+    version: u64,
+    accepted: Instant,
+    missing: Vec<usize>,
 }
 
 struct Document {
@@ -70,6 +85,9 @@
                 .map(|stream| (stream.service.clone(), stream.path.clone()))
                 .collect(),
             running,
+            paused: BTreeSet::new(),
+            edits: 0,
+            watches: Vec::new(),
         };
         bench.wait_ready().await?;
         for service in &trace.services {
@@ -78,6 +96,7 @@
             bench.documents.insert(service.name.clone(), document);
             bench.edit(&service.name).await?;
         }
+        bench.settle().await?;
         Ok(bench)
     }
 
@@ -124,23 +143,29 @@
             }
             self.edit(&service).await?;
         }
-        Ok(())
+        self.settle().await
     }
 
-    /// Puts a service's document as the bench holds it and waits until it is
-    /// in force on all running entries.
+    /// Puts a service's document as the bench holds it. Until the accepted
+    /// edit is seen on all running entries, [`Bench::watch_until`] looks for it.
     pub(super) async fn edit(&mut self, service: &str) -> Result<(), Error> {
         let document = self
             .documents
             .get(service)
             .ok_or_else(|| Error::Service(service.to_owned()))?;
+        // Under its own id an edit whose outcome is unknown can be sent again
+        // to the next entry.
+        self.edits += 1;
         let path = format!(
-            "/v1/documents/{service}?expected_version={}",
-            document.version
+            "/v1/documents/{service}?expected_version={}&edit_id=replay-{}",
+            document.version, self.edits
         );
         let body = document.body.clone();
         let mut last = String::new();
         for index in self.running.clone() {
+            if self.paused.contains(&index) {
+                continue;
+            }
             let admin = self.fleet.entry(index)?.admin;
             let answer = self
                 .fleet
@@ -155,7 +180,13 @@
                 if let Some(document) = self.documents.get_mut(service) {
                     document.version = version;
                 }
-                return self.await_in_force(service, version).await;
+                self.watches.push(Watch {
+                    service: service.to_owned(),
+                    version,
+                    accepted: Instant::now(),
+                    missing: self.running.clone(),
+                });
+                return Ok(());
             }
             last = format!("{status} {answer}");
             if status != StatusCode::SERVICE_UNAVAILABLE {
@@ -168,22 +199,58 @@
         })
     }
 
-    async fn await_in_force(&mut self, service: &str, version: u64) -> Result<(), Error> {
-        let start = Instant::now();
-        let path = format!("/v1/documents/{service}");
-        for index in self.running.clone() {
-            let admin = self.fleet.entry(index)?.admin;
-            while start.elapsed() < IN_FORCE_LIMIT {
-                let answer = self.fleet.admin(admin, Method::GET, &path, None).await;
-                if let Ok((_, body)) = answer
-                    && body["version"].as_u64() >= Some(version)
-                {
-                    break;
+    /// Waits until all accepted edits are in force or count as overdue.
+    pub(super) async fn settle(&mut self) -> Result<(), Error> {
+        while !self.watches.is_empty() {
+            self.look_for_edits().await?;
+            tokio::time::sleep(WATCH_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Looks for accepted edits until a moment, so that faults and further
+    /// edits happen at their times.
+    pub(super) async fn watch_until(&mut self, moment: Instant) -> Result<(), Error> {
+        while Instant::now() < moment && !self.watches.is_empty() {
+            if let Ok(result) = tokio::time::timeout_at(moment.into(), self.look_for_edits()).await
+            {
+                result?;
+            }
+            let next = moment.min(Instant::now() + WATCH_PAUSE);
+            tokio::time::sleep_until(next.into()).await;
+        }
+        tokio::time::sleep_until(moment.into()).await;
+        Ok(())
+    }
+
+    /// Asks each entry that is not yet seen with an accepted edit once. One
+    /// that is paused can't answer; its time counts all the same.
+    async fn look_for_edits(&mut self) -> Result<(), Error> {
+        let mut number = 0;
+        while let Some(watch) = self.watches.get(number) {
+            let path = format!("/v1/documents/{}", watch.service);
+            let (version, accepted) = (watch.version, watch.accepted);
+            for index in watch.missing.clone() {
+                if self.paused.contains(&index) {
+                    continue;
                 }
-                tokio::time::sleep(Duration::from_millis(10)).await;
+                let admin = self.fleet.entry(index)?.admin;
+                let seen = match self.fleet.admin(admin, Method::GET, &path, None).await {
+                    Ok((_, body)) => body["version"].as_u64() >= Some(version),
+                    Err(_) => false,
+                };
+                if seen || !self.running.contains(&index) {
+                    self.watches[number].missing.retain(|other| *other != index);
+                }
+            }
+            let elapsed = accepted.elapsed();
+            if self.watches[number].missing.is_empty() || elapsed > IN_FORCE_LIMIT {
+                self.watches.remove(number);
+                self.in_force.push(elapsed);
+            } else {
+                number += 1;
             }
         }
-        self.in_force.push(start.elapsed());
         Ok(())
     }
 
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -1,6 +1,7 @@
 //! Traces: committed text files of calls, faults and edits, with the outcomes
 //! that their replay must lead to.
 
+mod check;
 mod parse;
 
 use std::time::Duration;
@@ -160,6 +161,10 @@
     Down,
     /// The instance list no longer changes.
     StaleList,
+    /// Every write takes effect and its response is lost.
+    LoseReplies,
+    /// Connections that are open go silent for good; new ones work.
+    Swallow,
     /// All faults end.
     Clear,
 }
--- /dev/null
+++ b/crates/replay/src/trace/check.rs
@@ -0,0 +1,99 @@
+//! Checks that a statement names only what is defined above it, so that a
+//! replay does not fail half-way through.
+
+use std::time::Duration;
+
+use super::parse::Problem;
+use super::{Action, Block, Event, Expectation, Service, Trace};
+
+pub(super) fn service<'a>(trace: &'a Trace, name: &str) -> Result<&'a Service, Problem> {
+    trace
+        .services
+        .iter()
+        .find(|service| service.name == name)
+        .ok_or_else(|| Problem::Service(name.to_owned()))
+}
+
+/// Index of a block.
+pub(super) fn block(trace: &Trace, name: &str) -> Result<usize, Problem> {
+    trace
+        .blocks
+        .iter()
+        .position(|block| block.name == name)
+        .ok_or_else(|| Problem::Block(name.to_owned()))
+}
+
+pub(super) fn event(trace: &Trace, block: usize, event: &Event) -> Result<(), Problem> {
+    match &event.action {
+        Action::Pause { entry, .. } | Action::Kill { entry } | Action::Stop { entry } => {
+            if (1..=entries(trace, block, event.at)).contains(entry) {
+                Ok(())
+            } else {
+                Err(Problem::Entry(*entry))
+            }
+        }
+        Action::Join | Action::Platform(_) => Ok(()),
+        Action::SlowProbes { service: name, .. } | Action::Edit { service: name } => {
+            service(trace, name).map(|_| ())
+        }
+        Action::Drain {
+            service: name,
+            target,
+        } => {
+            if (1..=service(trace, name)?.targets).contains(target) {
+                Ok(())
+            } else {
+                Err(Problem::Target {
+                    service: name.clone(),
+                    number: *target,
+                })
+            }
+        }
+    }
+}
+
+pub(super) fn expectation(trace: &Trace, expectation: &Expectation) -> Result<(), Problem> {
+    let Expectation::Ratio {
+        service: name,
+        block: named,
+        policy,
+        baseline,
+        ..
+    } = expectation
+    else {
+        return Ok(());
+    };
+    service(trace, name)?;
+    let block = &trace.blocks[block(trace, named)?];
+    for policy in [policy, baseline] {
+        if !block.policies.iter().any(|run| run.to_string() == *policy) {
+            return Err(Problem::NotRun {
+                block: named.clone(),
+                policy: policy.clone(),
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Entries that were started by a time of the first turn of a block, dead ones
+/// included.
+fn entries(trace: &Trace, block: usize, at: Duration) -> u32 {
+    let joins = |block: &Block, limit: Duration| {
+        let events = block.events.iter();
+        events
+            .filter(|event| matches!(event.action, Action::Join) && event.at <= limit)
+            .fold(0, |joins: u32, _| joins + 1)
+    };
+    let earlier = trace.blocks[..block].iter().map(|block| {
+        block
+            .policies
+            .iter()
+            .fold(0, |sum: u32, _| sum.saturating_add(block.rounds))
+            .saturating_mul(joins(block, Duration::MAX))
+    });
+    trace
+        .entries
+        .saturating_add(earlier.fold(0, u32::saturating_add))
+        .saturating_add(joins(&trace.blocks[block], at))
+}
--- a/crates/replay/src/trace/parse.rs
+++ b/crates/replay/src/trace/parse.rs
@@ -1,14 +1,17 @@
 //! Parsing of traces.
 
 use std::collections::HashMap;
+use std::num::NonZeroU32;
 use std::str::FromStr;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::de::IntoDeserializer;
 use thiserror::Error;
 
 use super::{
     Action, Block, Direct, Event, Expectation, PlatformFault, Policy, Quantity, Service, Stream,
-    Trace,
+    Trace, check,
 };
 
 /// A line of a trace that can't be read.
@@ -41,6 +44,34 @@
     /// The block is not defined above.
     #[error("no block {0:?} above")]
     Block(String),
+    /// The service is not defined above.
+    #[error("no service {0:?} above")]
+    Service(String),
+    /// The service has no target of this number.
+    #[error("service {service:?} has no target {number}")]
+    Target {
+        /// The service.
+        service: String,
+        /// The number.
+        number: u32,
+    },
+    /// No entry of this number runs at that time.
+    #[error("no entry {0} at that time")]
+    Entry(u32),
+    /// The block does not run this policy.
+    #[error("block {block:?} does not run policy {policy}")]
+    NotRun {
+        /// The block.
+        block: String,
+        /// The policy.
+        policy: String,
+    },
+    /// The statement must stand above all blocks.
+    #[error("{0} must stand above all blocks")]
+    Late(&'static str),
+    /// The trace ends without a service.
+    #[error("the trace defines no service")]
+    NoService,
 }
 
 impl FromStr for Trace {
@@ -67,34 +98,46 @@
                 problem,
             })?;
         }
+        if trace.services.is_empty() {
+            return Err(Error {
+                line: text.lines().count().max(1),
+                problem: Problem::NoService,
+            });
+        }
         Ok(trace)
     }
 }
 
 fn read_statement(trace: &mut Trace, words: &mut Words<'_>) -> Result<(), Problem> {
     match words.next("statement")? {
-        "entries" => trace.entries = words.parse("entries")?,
-        "callers" => trace.callers = words.parse("callers")?,
+        "entries" if !trace.blocks.is_empty() => return Err(Problem::Late("entries")),
+        "entries" => trace.entries = words.positive("entries")?,
+        "callers" => trace.callers = words.positive("callers")?,
         "seed" => trace.seed = words.parse("seed")?,
         "service" => trace.services.push(read_service(words)?),
-        "calls" => trace.streams.push(read_stream(words)?),
+        "calls" => {
+            let stream = read_stream(words)?;
+            check::service(trace, &stream.service)?;
+            trace.streams.push(stream);
+        }
         "block" => trace.blocks.push(read_block(words)?),
         "in" => {
-            let name = words.next("block")?;
-            let block = trace
-                .blocks
-                .iter_mut()
-                .find(|block| block.name == name)
-                .ok_or_else(|| Problem::Block(name.to_owned()))?;
-            block.events.push(read_event(words)?);
+            let index = check::block(trace, words.next("block")?)?;
+            let event = read_event(words)?;
+            check::event(trace, index, &event)?;
+            trace.blocks[index].events.push(event);
         }
         "direct" => {
-            trace.direct = Some(Direct {
-                service: words.next("service")?.to_owned(),
-                calls: words.settings().parse("calls")?,
-            });
+            let service = words.next("service")?.to_owned();
+            check::service(trace, &service)?;
+            let calls = words.settings().parse("calls")?;
+            trace.direct = Some(Direct { service, calls });
+        }
+        "expect" => {
+            let expectation = read_expectation(words)?;
+            check::expectation(trace, &expectation)?;
+            trace.expectations.push(expectation);
         }
-        "expect" => trace.expectations.push(read_expectation(words)?),
         other => return Err(Problem::Statement(other.to_owned())),
     }
     Ok(())
@@ -105,8 +148,8 @@
     let settings = words.settings();
     Ok(Service {
         name,
-        targets: settings.parse("targets")?,
-        slots: settings.parse("slots")?,
+        targets: settings.positive("targets")?,
+        slots: settings.positive("slots")?,
         zones: settings
             .text("zones")?
             .split(',')
@@ -171,6 +214,10 @@
             "spread" => false,
             _ => return Err(invalid()),
         };
+        // The names are those of documents, which refuse any other.
+        let known: Result<carobdrift_document::Policy, serde::de::value::Error> =
+            carobdrift_document::Policy::deserialize(name.into_deserializer());
+        known.map_err(|_| invalid())?;
         Ok(Self {
             name: name.to_owned(),
             steered,
@@ -205,6 +252,8 @@
         "platform" => Action::Platform(match words.next("fault")? {
             "down" => PlatformFault::Down,
             "stale-list" => PlatformFault::StaleList,
+            "lose-replies" => PlatformFault::LoseReplies,
+            "swallow" => PlatformFault::Swallow,
             "clear" => PlatformFault::Clear,
             other => return Err(invalid("fault", other)),
         }),
@@ -273,6 +322,11 @@
     text.parse().map_err(|_| invalid(name, text))
 }
 
+fn positive(name: &'static str, text: &str) -> Result<u32, Problem> {
+    let number: NonZeroU32 = parse(name, text)?;
+    Ok(number.get())
+}
+
 fn seconds(name: &'static str, text: &str) -> Result<Duration, Problem> {
     Duration::try_from_secs_f64(parse(name, text)?).map_err(|_| invalid(name, text))
 }
@@ -292,6 +346,10 @@
         parse(name, self.next(name)?)
     }
 
+    fn positive(&mut self, name: &'static str) -> Result<u32, Problem> {
+        positive(name, self.next(name)?)
+    }
+
     fn seconds(&mut self, name: &'static str) -> Result<Duration, Problem> {
         seconds(name, self.next(name)?)
     }
@@ -326,6 +384,10 @@
         parse(name, self.text(name)?)
     }
 
+    fn positive(&self, name: &'static str) -> Result<u32, Problem> {
+        positive(name, self.text(name)?)
+    }
+
     fn seconds(&self, name: &'static str) -> Result<Duration, Problem> {
         seconds(name, self.text(name)?)
     }
--- a/crates/replay/tests/all/main.rs
+++ b/crates/replay/tests/all/main.rs
@@ -1,4 +1,5 @@
-//! Tests of fitted lines and reports.
+//! Tests of traces, fitted lines and reports.
 
 mod fit;
 mod report;
+mod trace;
