Fail a replay in which an entry ended by itself

An entry that ended without an event of the trace showed only as an edit that was never in force everywhere, without the status that would tell why. The check runs at the end of each turn and states the exit status.

--- a/crates/replay/src/compare.rs
+++ b/crates/replay/src/compare.rs
@@ -52,6 +52,14 @@
     /// Entries did not become ready in time.
     #[error("entry {0} did not become ready")]
     NotReady(String),
+    /// An entry ended that no event of the trace killed or stopped.
+    #[error("entry {entry} ended by itself: {status}")]
+    Ended {
+        /// The entry.
+        entry: String,
+        /// Its exit status.
+        status: std::process::ExitStatus,
+    },
     /// The trace names a service that it does not define.
     #[error("the trace defines no service {0}")]
     Service(String),
@@ -122,5 +130,7 @@
     let turn = block.turn;
     let load = tokio::spawn(async move { load::run(&streams, &callers, turn, seed).await });
     event::play(bench, &block.events).await?;
-    Ok(load.await.unwrap_or_default())
+    let records = load.await.unwrap_or_default();
+    bench.check_running()?;
+    Ok(records)
 }
--- a/crates/replay/src/compare/setup.rs
+++ b/crates/replay/src/compare/setup.rs
@@ -254,6 +254,21 @@
         Ok(())
     }
 
+    /// Checks that no entry ended by itself: what a replay measures with fewer
+    /// entries than the trace states is not what it is to judge.
+    pub(super) fn check_running(&mut self) -> Result<(), Error> {
+        for index in self.running.clone() {
+            let entry = self.fleet.entry(index)?;
+            if let Some(status) = entry.process.ended().map_err(fleet::Error::from)? {
+                return Err(Error::Ended {
+                    entry: entry.id.to_string(),
+                    status,
+                });
+            }
+        }
+        Ok(())
+    }
+
     async fn wait_ready(&self) -> Result<(), Error> {
         for entry in &self.fleet.entries {
             if !self.fleet.wait_ready(entry.admin, READY_LIMIT).await {
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -144,6 +144,15 @@
         Ok(kill(self.pid, signal)?)
     }
 
+    /// Status of the process if it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system can't tell.
+    pub fn ended(&mut self) -> Result<Option<ExitStatus>, Error> {
+        self.child.try_wait().map_err(Error::Wait)
+    }
+
     /// Waits for the end of the process.
     ///
     /// # Errors
