Keep address answers briefly while most entries are silent

An entry that was paused for 2 s hears nobody when it continues. Requests for addresses that had waited were answered with itself alone and the document's time to live: a replay of traces/pairs.trace with a print in the caller saw such answers with 5000 ms. The log of another replay shows four links open again within 23 ms of the entry continuing. Such an answer may now be kept for at most 200 ms.

Refusing the answer was ruled out, because a cell that really lost most of its entries would give its callers no address at all.

--- a/crates/admin/src/discovery.rs
+++ b/crates/admin/src/discovery.rs
@@ -19,6 +19,11 @@
 /// the same time.
 const SILENCE: Duration = Duration::from_secs(2);
 
+/// Longest time to live of an answer while most known entries are silent. An
+/// entry that was paused hears nobody when it continues, and without this bound
+/// its callers used it alone for the document's whole time to live.
+const ALONE_TTL: Millis = Millis(200);
+
 #[derive(Deserialize, JsonSchema)]
 pub(crate) struct AddressQuery {
     /// Service that the caller wants to call.
@@ -104,7 +109,11 @@
     let key_prefix = addresses[0].key_prefix.clone();
     Ok(HttpResponseOk(Answer {
         service,
-        ttl_ms: steering.ttl_ms,
+        ttl_ms: if hears_most(backend) {
+            steering.ttl_ms
+        } else {
+            steering.ttl_ms.min(ALONE_TTL)
+        },
         preferred: order.preferred,
         addresses,
         key_prefix,
@@ -124,6 +133,17 @@
         .collect()
 }
 
+/// Whether this entry heard more than half of the entries that it knows, itself
+/// included.
+fn hears_most(backend: &dyn Backend) -> bool {
+    let peers = backend.peers();
+    let heard = peers
+        .iter()
+        .filter(|entry| entry.heard.is_some_and(|silent| silent < SILENCE))
+        .count();
+    (heard + 1) * 2 > peers.len() + 1
+}
+
 fn rate(entry: &Entry, service: &Service) -> f64 {
     let rates = entry.status.iter().flat_map(|status| &status.rates);
     rates
--- a/crates/admin/tests/all/addresses.rs
+++ b/crates/admin/tests/all/addresses.rs
@@ -147,3 +147,24 @@
 
     assert_eq!(firsts.len(), 2);
 }
+
+/// Guards against callers that stay on an entry which was paused: when it
+/// continues, it hears nobody and can only name itself.
+#[tokio::test]
+async fn answer_is_kept_briefly_while_most_entries_are_silent() {
+    let fixture = Fixture::start();
+    let mut ttls = Vec::new();
+    // Of 15 entries, this one included.
+    for silent in [7, 8, 14] {
+        fixture.backend.change(|state| {
+            state.peers = cell();
+            for peer in &mut state.peers[..silent] {
+                peer.heard = Some(Duration::from_secs(2));
+            }
+        });
+        let (_, answer) = fixture.get(PATH, None).await;
+        ttls.push(answer["ttl_ms"].clone());
+    }
+
+    assert_eq!(ttls, [json!(5000), json!(200), json!(200)]);
+}
