Check the document's version right before a request is sent

A request that was routed before a pause could be sent after it under the old document, once the standing was confirmed again: only the standing was checked at that point. A test changes the document at each look on the way.

Also: an edit whose first read meets a silent connection to the platform reads once more in place of being refused; a document that this build can't read is told apart from a missing service; the commands end quietly when their reader does; the slopes measure the records of keys.

Tried and taken back: retrying an idempotent request elsewhere when a fresh connection is silent for half of its time.

--- a/crates/catalog/src/edit.rs
+++ b/crates/catalog/src/edit.rs
@@ -122,6 +122,7 @@
     let deadline = Instant::now() + TIMEOUT;
     // Cause of a transaction that may still take effect.
     let mut open: Option<Error> = None;
+    let mut is_repeated = false;
     loop {
         let refused = match attempt.look(shared).await {
             Ok(Stage::Accepted(outcome)) => return Ok(outcome),
@@ -144,7 +145,13 @@
                 log::warn!(target: "catalog", "reading back edit {}: {error}", edit.id);
                 open = Some(error);
             }
-            Refused::Store(error) if open.is_none() => return Err(EditError::Unavailable(error)),
+            // The first call after a while may meet a connection that went
+            // silent; its timeout replaces all connections.
+            Refused::Store(error) if open.is_none() => {
+                if std::mem::replace(&mut is_repeated, true) {
+                    return Err(EditError::Unavailable(error));
+                }
+            }
             Refused::Now(_) | Refused::Store(_) => {}
         }
         if Instant::now() >= deadline {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -65,6 +65,8 @@
     TooLate,
     #[error("this entry can't confirm that its documents are the newest ones")]
     Unconfirmed,
+    #[error("the document of the service changed before the request was sent")]
+    Outdated,
     #[error("the target's response has no stated length")]
     Unframed,
     #[error("the response is larger than the service permits")]
@@ -95,6 +97,7 @@
             Cause::TooLarge => (StatusCode::BAD_GATEWAY, "response-too-large"),
             Cause::TimedOut | Cause::TooLate => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
             Cause::Unconfirmed => (StatusCode::SERVICE_UNAVAILABLE, "unconfirmed"),
+            Cause::Outdated => (StatusCode::SERVICE_UNAVAILABLE, "document-changed"),
             Cause::Upload(fault) => return Self::of_upload(*fault, failed.outcome),
         };
         Self::new(status, failed.outcome, reason, failed.cause.to_string())
@@ -167,20 +170,35 @@
         }
     }
 
-    /// Whether this entry may dispatch requests now.
+    /// Whether this entry may dispatch the request now.
     pub(crate) fn serves(&self) -> bool {
+        self.is_confirmed() && self.is_current()
+    }
+
+    fn is_confirmed(&self) -> bool {
         self.services.documents().standing().serves()
     }
 
+    /// Whether the document by which the request was routed is still in force.
+    fn is_current(&self) -> bool {
+        let held = self
+            .services
+            .documents()
+            .held(&self.served.document.service);
+        held.is_some_and(|held| held.version <= self.served.version)
+    }
+
     /// Checks what may have changed while the request waited, such as by a
     /// pause of the process.
     fn check_dispatch(&self, now: Instant) -> Result<(), Failed> {
         let cause = if now >= self.call.deadline {
             Cause::TooLate
-        } else if self.serves() {
-            return Ok(());
-        } else {
+        } else if !self.is_confirmed() {
             Cause::Unconfirmed
+        } else if !self.is_current() {
+            Cause::Outdated
+        } else {
+            return Ok(());
         };
         Err(Failed {
             outcome: Outcome::NotRun,
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -10,6 +10,7 @@
 use carobdrift_balance::{Call, Slot};
 use carobdrift_document::{Keys, Kind, Route};
 use carobdrift_idempotency::{Claims, Grant, Refusal, Scheme};
+use carobdrift_units::Service;
 use carobdrift_wire::Key;
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -220,12 +221,26 @@
         ))
     }
 
+    /// Why a service can't be served.
+    fn absent(&self, service: &Service) -> Failure {
+        if self.services.documents().is_unreadable(service) {
+            let message = format!("this entry can't read the document of service {service}");
+            return Failure::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "unreadable-document",
+                message,
+            );
+        }
+        let message = format!("there is no service {service}");
+        Failure::not_run(StatusCode::NOT_FOUND, "no-service", message)
+    }
+
     fn route(&self, begin: Instant, parts: &Parts, admitted: &Admitted) -> Result<Routed, Failure> {
         let service = &admitted.service;
-        let served = self.services.serve(service).ok_or_else(|| {
-            let message = format!("there is no service {service}");
-            Failure::not_run(StatusCode::NOT_FOUND, "no-service", message)
-        })?;
+        let served = self
+            .services
+            .serve(service)
+            .ok_or_else(|| self.absent(service))?;
         let route = served.document.route(&parts.method, parts.uri.path());
         let Some(route) = route.cloned() else {
             let message = format!("service {service} has no route for this method and path");
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -26,6 +26,9 @@
     /// Whether calls may be dispatched now.
     fn standing(&self) -> Standing;
 
+    /// Whether the service's document has a form that this build can't read.
+    fn is_unreadable(&self, service: &Service) -> bool;
+
     /// Waits at most `max_wait` until calls may be dispatched.
     fn confirm(&self, max_wait: Duration) -> Wait;
 }
@@ -39,6 +42,10 @@
         Self::standing(self)
     }
 
+    fn is_unreadable(&self, service: &Service) -> bool {
+        Self::is_unreadable(self, service)
+    }
+
     fn confirm(&self, max_wait: Duration) -> Wait {
         let catalog = self.clone();
         Box::pin(async move { Self::confirm(&catalog, max_wait).await })
--- a/crates/proxy/tests/all/fixture.rs
+++ b/crates/proxy/tests/all/fixture.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -32,6 +33,10 @@
 pub(crate) struct Shelf {
     held: Mutex<Held>,
     standing: Mutex<Standing>,
+    /// Looks at the document until its version grows by itself; 0 when it does
+    /// not.
+    looks_left: AtomicU32,
+    unreadable: AtomicBool,
 }
 
 impl Shelf {
@@ -39,6 +44,16 @@
         *self.standing.lock().unwrap_or_else(PoisonError::into_inner) = standing;
     }
 
+    /// Puts a newer version of the same document in force at the given look.
+    pub(crate) fn change_at(&self, look: u32) {
+        self.looks_left.store(look, Ordering::SeqCst);
+    }
+
+    /// Makes the document one that this build can't read.
+    pub(crate) fn make_unreadable(&self) {
+        self.unreadable.store(true, Ordering::SeqCst);
+    }
+
     pub(crate) fn put(&self, document: &Value) {
         let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         held.document = parse(document);
@@ -48,8 +63,20 @@
 
 impl Documents for Shelf {
     fn held(&self, service: &Service) -> Option<Arc<Held>> {
-        let held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
-        (held.document.service == *service).then(|| Arc::new(held.clone()))
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let counted = |left: u32| left.checked_sub(1);
+        let before = self
+            .looks_left
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, counted);
+        if before == Ok(1) {
+            held.version = held.version.next();
+        }
+        let is_held = held.document.service == *service && !self.is_unreadable(service);
+        is_held.then(|| Arc::new(held.clone()))
+    }
+
+    fn is_unreadable(&self, service: &Service) -> bool {
+        service.as_str() == SERVICE && self.unreadable.load(Ordering::SeqCst)
     }
 
     fn standing(&self) -> Standing {
@@ -257,6 +284,8 @@
                 version: Version(1),
             }),
             standing: Mutex::new(Standing::Outage),
+            looks_left: AtomicU32::new(0),
+            unreadable: AtomicBool::new(false),
         });
         let instance: Instance = "entry-1".parse().expect("the name is valid");
         let registry = Registry::new();
--- a/crates/proxy/tests/all/outcomes.rs
+++ b/crates/proxy/tests/all/outcomes.rs
@@ -212,3 +212,41 @@
     }
     assert_eq!(entry.targets[0].runs().len(), before);
 }
+
+/// Guards against a request that is routed by one version of the document and
+/// sent after a newer one is in force, such as after a pause in between.
+#[tokio::test]
+async fn a_document_that_changes_on_the_way_is_never_overtaken() {
+    let mut refused_at = Vec::new();
+    for look in 1..=5 {
+        let entry = Entry::with_faults(&[Faults::default()]).await;
+        entry.shelf.change_at(look);
+
+        let answer = entry.ask(get("changing")).await.expect("the entry answers");
+
+        let runs = entry.targets[0].runs().len();
+        if answer.summary() == (503, Some("not-run"), Some("document-changed")) {
+            assert_eq!(runs, 0, "look {look}");
+            refused_at.push(look);
+        } else {
+            assert!(answer.is_own("changing", ""), "look {look}");
+            assert_eq!(runs, 1, "look {look}");
+        }
+    }
+    // The look right before the request is sent is the only one after which it
+    // can't be routed anew.
+    assert_eq!(refused_at.len(), 1, "{refused_at:?}");
+}
+
+/// Guards against a service that is taken for an unknown one because its
+/// document was accepted by a newer build.
+#[tokio::test]
+async fn a_document_that_can_not_be_read_is_no_missing_service() {
+    let entry = Entry::with_faults(&[Faults::default()]).await;
+    entry.shelf.make_unreadable();
+
+    let answer = entry.ask(get("unread")).await.expect("the entry answers");
+
+    let refused = (503, Some("not-run"), Some("unreadable-document"));
+    assert_eq!(answer.summary(), refused);
+}
--- a/crates/replay/src/slopes/experiment.rs
+++ b/crates/replay/src/slopes/experiment.rs
@@ -12,6 +12,7 @@
 use http::Method;
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 use super::Error;
 use super::probe::{self, Usage};
@@ -53,6 +54,8 @@
     Calls,
     /// Edits per second
     Changes,
+    /// Non-idempotent calls with issued keys per second at one entry
+    Keys,
 }
 
 /// Quantities with their points.
@@ -60,13 +63,14 @@
 
 impl Experiment {
     /// All experiments.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Services,
         Self::Endpoints,
         Self::Entries,
         Self::Connections,
         Self::Calls,
         Self::Changes,
+        Self::Keys,
     ];
 
     /// Name of the size that is varied.
@@ -79,6 +83,7 @@
             Self::Connections => "connections",
             Self::Calls => "calls per second",
             Self::Changes => "changes per second",
+            Self::Keys => "keyed calls",
         }
     }
 
@@ -90,6 +95,7 @@
             Self::Connections => &[0, 500, 1000, 2000],
             Self::Calls => &[0, 1000, 2000, 4000],
             Self::Changes => &[0, 2, 5, 10],
+            Self::Keys => &[200, 500, 1000],
         }
     }
 }
@@ -114,6 +120,7 @@
             Experiment::Connections => site.vary_connections(*point, &mut figures).await?,
             Experiment::Calls => site.vary_calls(*point, &mut figures).await?,
             Experiment::Changes => site.vary_changes(*point, &mut figures).await?,
+            Experiment::Keys => site.vary_keys(*point, &mut figures).await?,
         }
     }
     Ok(figures)
@@ -207,33 +214,8 @@
     }
 
     async fn vary_calls(mut self, rate: u32, figures: &mut Figures) -> Result<(), Error> {
-        let service = Service {
-            name: "sheets".to_owned(),
-            targets: 9,
-            slots: 32,
-            zones: ZONES.map(str::to_owned).to_vec(),
-            mean_ms: 2.0,
-            sigma: 0.2,
-            noise: None,
-        };
-        self.fleet.start_targets(&service).await?;
-        let body = self.document("sheets", self.fleet.target_rows("sheets"));
-        self.put("sheets", 0, &body).await?;
-        // One entry gets all calls.
-        let admin = self.fleet.entries[0].admin;
-        let callers: Vec<Caller> = (0..16)
-            .map(|_| Caller::open(ZONES[0], vec![admin]))
-            .collect();
-        let streams = [load::Stream {
-            service: "sheets".to_owned(),
-            method: Method::GET,
-            path: "/meets/1/heats/1".to_owned(),
-            rate: f64::from(rate),
-            keyed: false,
-        }];
         let length = SETTLE + OBSERVATION + Duration::from_secs(1);
-        let running = (rate > 0)
-            .then(|| tokio::spawn(async move { load::run(&streams, &callers, length, 1).await }));
+        let running = self.start_load(rate, false, length).await?;
         tokio::time::sleep(SETTLE).await;
         let usage = self.observe_busiest().await?;
         add(figures, "memory MB", rate, usage.memory_mb);
@@ -243,8 +225,8 @@
             rate,
             usage.processor_percent,
         );
-        if let Some(running) = running {
-            let records = running.await.unwrap_or_default();
+        let records = running.await.unwrap_or_default();
+        if rate > 0 {
             let whole = records
                 .iter()
                 .filter(|record| record.end == load::End::Whole)
@@ -259,6 +241,73 @@
         Ok(())
     }
 
+    /// Measures what the records of keys take, against the number of calls.
+    async fn vary_keys(mut self, rate: u32, figures: &mut Figures) -> Result<(), Error> {
+        let running = self.start_load(rate, true, OBSERVATION).await?;
+        let records = running.await.unwrap_or_default();
+        let whole = records
+            .iter()
+            .filter(|record| record.end == load::End::Whole)
+            .count();
+        let mut bytes = 0.0;
+        for entry in &self.fleet.entries {
+            let metrics = self.fleet.metrics(entry).await?;
+            bytes += probe::sum(&metrics, "carobdrift_ledger_bytes");
+        }
+        let size = u32::try_from(whole).unwrap_or(u32::MAX);
+        add(figures, "records in KB, all entries", size, bytes / 1000.0);
+        Ok(())
+    }
+
+    /// Calls a service whose callers are all in one availability zone, so that
+    /// one entry gets all calls.
+    async fn start_load(
+        &mut self,
+        rate: u32,
+        keyed: bool,
+        length: Duration,
+    ) -> Result<JoinHandle<Vec<load::Record>>, Error> {
+        let service = Service {
+            name: "sheets".to_owned(),
+            targets: 9,
+            slots: 32,
+            zones: ZONES.map(str::to_owned).to_vec(),
+            mean_ms: 2.0,
+            sigma: 0.2,
+            noise: None,
+        };
+        self.fleet.start_targets(&service).await?;
+        let mut body = self.document("sheets", self.fleet.target_rows("sheets"));
+        body["routes"] = json!([
+            {"name": "view", "methods": ["GET"], "path": "/views", "kind": "idempotent", "class": "view", "deadline_ms": 1000},
+            {"name": "seed", "methods": ["POST"], "path": "/seeds", "kind": "non-idempotent", "class": "view", "deadline_ms": 1000, "keys": "issued"},
+        ]);
+        body["classes"] = json!([{"name": "view", "weight": 1, "max_queue": 1000}]);
+        self.put("sheets", 0, &body).await?;
+        let admin = self.fleet.entries[0].admin;
+        let callers: Vec<Caller> = (0..16)
+            .map(|_| Caller::open(ZONES[0], vec![admin]))
+            .collect();
+        let (method, path) = if keyed {
+            (Method::POST, "/seeds")
+        } else {
+            (Method::GET, "/views")
+        };
+        let streams = [load::Stream {
+            service: "sheets".to_owned(),
+            method,
+            path: path.to_owned(),
+            rate: f64::from(rate),
+            keyed,
+        }];
+        Ok(tokio::spawn(async move {
+            if rate == 0 {
+                return Vec::new();
+            }
+            load::run(&streams, &callers, length, 1).await
+        }))
+    }
+
     async fn vary_changes(&self, rate: u32, figures: &mut Figures) -> Result<(), Error> {
         let body = self.document("edited", unused_targets(TARGETS_PER_SERVICE));
         let mut version = self.put("edited", 0, &body).await?;
--- a/crates/replay/src/slopes/probe.rs
+++ b/crates/replay/src/slopes/probe.rs
@@ -74,7 +74,7 @@
 }
 
 /// Sum of all series of a metric.
-fn sum(metrics: &str, name: &str) -> f64 {
+pub(super) fn sum(metrics: &str, name: &str) -> f64 {
     metrics
         .lines()
         .filter(|line| line.starts_with(name))
--- a/src/commands/addresses.rs
+++ b/src/commands/addresses.rs
@@ -6,6 +6,7 @@
 use clap::Args;
 
 use crate::client::{Client, Settings};
+use crate::output::print;
 
 /// Show the addresses that a caller of a service should use.
 ///
@@ -33,7 +34,7 @@
         let client = Client::open(self.client)?;
         let path = format!("/v1/addresses?service={}&zone={}", self.service, self.zone);
         let answer = client.get(&path).await?;
-        println!("{answer:#}");
+        print(format_args!("{answer:#}"))?;
         Ok(ExitCode::SUCCESS)
     }
 }
--- a/src/commands/document.rs
+++ b/src/commands/document.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 
 use crate::client::{Client, Error, Refusal, Settings};
+use crate::output::print;
 
 /// Exit status when it is unknown whether an edit was accepted.
 const UNKNOWN: u8 = 3;
@@ -131,7 +132,7 @@
             Action::Outcome { edit_id, client } => (client, format!("/v1/edits/{edit_id}")),
         };
         let answer = Client::open(client)?.get(&path).await?;
-        println!("{answer:#}");
+        print(format_args!("{answer:#}"))?;
         Ok(ExitCode::SUCCESS)
     }
 }
@@ -142,9 +143,9 @@
     let shown = answer["document"].to_string();
     match carobdrift_document::Document::parse(shown.as_bytes()) {
         // In the order of the model, not of the alphabet.
-        Ok(document) => println!("{}", serde_json::to_string_pretty(&document)?),
+        Ok(document) => print(serde_json::to_string_pretty(&document)?)?,
         // The entry may be newer than this program.
-        Err(_) => println!("{:#}", answer["document"]),
+        Err(_) => print(format_args!("{:#}", answer["document"]))?,
     }
     let age = match &answer["confirmed_ms"] {
         Value::Number(age) => format!("confirmed {age} ms ago"),
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -9,6 +9,8 @@
 use serde::Serialize;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use crate::output::print;
+
 /// Exit status for settings that are invalid.
 const INVALID_SETTINGS: u8 = 2;
 
@@ -51,7 +53,7 @@
             }
         };
         if self.print_settings {
-            println!("{}", serde_json::to_string_pretty(&settings)?);
+            print(serde_json::to_string_pretty(&settings)?)?;
             return Ok(ExitCode::SUCCESS);
         }
         set_up_logging(&settings.log)?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod commands;
+mod output;
 
 use std::process::ExitCode;
 
