State at once when a service has no calls any more

An entry now states at the next round, after 2 s at most, that it needs nothing, and is quiet from then on.

--- a/crates/measure/src/shares.rs
+++ b/crates/measure/src/shares.rs
@@ -135,7 +135,9 @@
         let mut pause = SHORTEST_PAUSE;
         let mut recalled = false;
         let mut failures = 0;
-        let mut asked: HashMap<Service, Instant> = HashMap::new();
+        // When a service without calls was last asked for. One that had calls
+        // the last time states at the next round that it needs less.
+        let mut asked_idle: HashMap<Service, Instant> = HashMap::new();
         loop {
             let whole = refresh <= Instant::now();
             let served: Vec<(Service, Allowances)> = {
@@ -150,21 +152,26 @@
                 for (_, allowance) in &allowances {
                     allowance.alert(&alarm);
                 }
-                let due = asked
-                    .get(&service)
-                    .is_none_or(|at| *at + IDLE_REFRESH <= Instant::now());
                 let is_idle = allowances
                     .iter()
                     .all(|(_, a)| a.demand() == Share::default());
+                if !is_idle {
+                    asked_idle.remove(&service);
+                }
+                let asked = asked_idle.get(&service);
+                let is_due = asked.is_none_or(|at| *at + IDLE_REFRESH <= Instant::now());
                 let is_short = allowances.iter().any(|(_, a)| a.is_short());
-                if is_short || whole && (due || !is_idle) {
+                if is_short || whole && is_due {
+                    if is_idle {
+                        asked_idle.insert(service.clone(), Instant::now());
+                    }
                     asking.insert(service, allowances);
                 }
             }
             let sent = Instant::now();
             let result = self.ask(shard, &asking).await;
-            if result != Outcome::Unanswered {
-                asked.extend(asking.keys().map(|service| (service.clone(), sent)));
+            if result == Outcome::Unanswered {
+                asked_idle.clear();
             }
             pause = match result {
                 Outcome::Sufficient => SHORTEST_PAUSE,
