Recall shares also from entries that hold their fair part

The holder also recalls, every 250 ms at most, when an entry gets its fair part and wants more, and a recalled entry states its plain demand.

--- a/crates/balance/src/allowance.rs
+++ b/crates/balance/src/allowance.rs
@@ -39,6 +39,8 @@
     split: Option<u32>,
     /// Whether a new statement is due: the share ran short or was recalled.
     short: bool,
+    /// Whether others wait for what this entry does not need.
+    recalled: bool,
     /// Whether anything was wanted or held in the last statement.
     stated: bool,
     alarm: Option<Arc<Notify>>,
@@ -67,6 +69,7 @@
                 place: None,
                 split: None,
                 short: false,
+                recalled: false,
                 stated: false,
                 alarm: None,
                 count: Count::default(),
@@ -172,6 +175,7 @@
         let granted = state.grant(Instant::now());
         let holds = granted.is_some_and(|grant| grant.share != Share::default());
         state.short |= holds;
+        state.recalled |= holds;
         holds
     }
 
@@ -332,9 +336,11 @@
     fn want(&mut self, now: Instant) -> Share {
         let demand = self.count.demand(now);
         let steered = self.place.is_some();
+        let recalled = std::mem::take(&mut self.recalled);
+        let headroom = if recalled { 1 } else { HEADROOM };
         let part = |demand: u32, limit: u32| {
             let reserve = if steered { limit / RESERVE } else { 0 };
-            demand.saturating_mul(HEADROOM).max(reserve).min(limit)
+            demand.saturating_mul(headroom).max(reserve).min(limit)
         };
         let want = Share {
             in_flight: part(demand.in_flight, self.limits.max_in_flight),
--- a/crates/measure/src/book.rs
+++ b/crates/measure/src/book.rs
@@ -73,6 +73,17 @@
         columns.any(Column::is_squeezed)
     }
 
+    /// Whether an entry that asked last got less than it wants, which may only
+    /// be because others have not stated yet that they need less.
+    #[must_use]
+    pub fn is_partial(&self) -> bool {
+        let mut columns = self
+            .pages
+            .values()
+            .flat_map(|p| [&p.in_flight, &p.per_second]);
+        columns.any(Column::is_partial)
+    }
+
     /// Grants a share of the limits of the service, or of one of its classes,
     /// to an entry. What others hold is not granted. Unless all grants of the
     /// last holder are known (`settled`), what the entry holds is renewed and
--- a/crates/measure/src/column.rs
+++ b/crates/measure/src/column.rs
@@ -22,6 +22,8 @@
     /// Whether the last entry that asked got less than its fair part, because
     /// others hold more than theirs.
     squeezed: bool,
+    /// Whether the last entry that asked got less than it wants.
+    partial: bool,
     lines: HashMap<Instance, Line>,
 }
 
@@ -70,6 +72,7 @@
             (last.granted > 0) == (granted > 0) && (granted > 0 || last.is_waiting(now))
         });
         self.squeezed = granted < want.min(fair);
+        self.partial = granted < want;
         let line = Line {
             want,
             held: granted.max(held),
@@ -85,6 +88,10 @@
         self.squeezed
     }
 
+    pub(crate) fn is_partial(&self) -> bool {
+        self.partial
+    }
+
     /// One unit or none of a limit that is smaller than the number of entries
     /// that want a part of it. The entries take turns.
     fn unit(&self, free: u32, held: u32, last: Option<&Line>, now: Instant) -> u32 {
--- a/crates/measure/src/grants.rs
+++ b/crates/measure/src/grants.rs
@@ -15,6 +15,11 @@
 /// the 100 ms for which a call waits.
 const RECALL_PAUSE: Duration = Duration::from_millis(20);
 
+/// Shortest pause between two recalls because an entry got its fair part and
+/// wants more. Load that moves to few entries is refused until the others have
+/// stated that they need less; in a lasting overload recalls bring nothing.
+const PARTIAL_RECALL_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time within which entries follow a recall; a few round trips.
 const RECALL_LIMIT: Duration = Duration::from_millis(100);
 
@@ -113,8 +118,14 @@
         let Some(open) = self.books.get_mut(service) else {
             return false;
         };
-        let recent = open.recalled.is_some_and(|at| now < at + RECALL_PAUSE);
-        if recent || !open.book.is_squeezed() {
+        let pause = if open.book.is_squeezed() {
+            RECALL_PAUSE
+        } else if open.book.is_partial() {
+            PARTIAL_RECALL_PAUSE
+        } else {
+            return false;
+        };
+        if open.recalled.is_some_and(|at| now < at + pause) {
             return false;
         }
         open.recalled = Some(now);
