Walk the columns of a share book in one place

The two questions whether an entry got its fair part and whether it got all that it wants each spelled out the same walk over all pages. Behaviour is unchanged; the 45 tests of the package pass.

--- a/crates/measure/src/book.rs
+++ b/crates/measure/src/book.rs
@@ -66,22 +66,19 @@
     /// theirs.
     #[must_use]
     pub fn is_squeezed(&self) -> bool {
-        let mut columns = self
-            .pages
-            .values()
-            .flat_map(|p| [&p.in_flight, &p.per_second]);
-        columns.any(Column::is_squeezed)
+        self.columns().any(Column::is_squeezed)
     }
 
     /// Whether an entry that asked last got less than it wants, which may only
     /// be because others have not stated yet that they need less.
     #[must_use]
     pub fn is_partial(&self) -> bool {
-        let mut columns = self
-            .pages
-            .values()
-            .flat_map(|p| [&p.in_flight, &p.per_second]);
-        columns.any(Column::is_partial)
+        self.columns().any(Column::is_partial)
+    }
+
+    fn columns(&self) -> impl Iterator<Item = &Column> {
+        let pages = self.pages.values();
+        pages.flat_map(|page| [&page.in_flight, &page.per_second])
     }
 
     /// Grants a share of the limits of the service, or of one of its classes,
