Run an entry on the platform: adapter, gateway, placement, peers and node

The platform's store holds the desired state and the registrations of targets; an entry keeps what it knows in memory and learns it from the store or from the other entries.

--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,160 @@
+//! Everything that requests need.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use carobdrift_http1::{Limits, Request, Response, Service};
+use carobdrift_placement::Endpoint;
+use carobdrift_routing::{State, Table};
+use carobdrift_units::{Target, Version, Zone};
+
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::services::{Repeats, Services};
+use crate::upstream::Upstreams;
+
+/// Settings of the path of requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Availability zone of the entry.
+    pub zone: Zone,
+    /// Repeats in sum over all entries, as a share of the requests of a window.
+    pub repeat_ratio: f64,
+    /// Repeats in sum over all entries that a window may have besides.
+    pub repeat_reserve: f64,
+    /// The window.
+    pub repeat_window: Duration,
+}
+
+/// The path of requests of one entry.
+#[derive(Debug)]
+pub struct Gateway {
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) services: Services,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) metrics: Metrics,
+    table: ArcSwapOption<Table>,
+    closing: AtomicBool,
+}
+
+impl Gateway {
+    /// Opens the path of requests, without a desired state and without targets.
+    #[must_use]
+    pub fn open(settings: &Settings, dialect: Arc<dyn Dialect>, metrics: Metrics) -> Arc<Self> {
+        let repeats = Repeats {
+            ratio: settings.repeat_ratio,
+            reserve: settings.repeat_reserve,
+            window: settings.repeat_window,
+        };
+        Arc::new(Self {
+            dialect,
+            services: Services::new(settings.zone.clone(), repeats),
+            upstreams: Upstreams::new(metrics.connections.clone()),
+            metrics,
+            table: ArcSwapOption::empty(),
+            closing: AtomicBool::new(false),
+        })
+    }
+
+    /// Puts a desired state in force unless a newer one is. Returns whether it
+    /// was.
+    pub fn put_state(&self, state: State) -> bool {
+        let current = self.table.load();
+        if current
+            .as_ref()
+            .is_some_and(|table| table.state().version >= state.version)
+        {
+            return false;
+        }
+        self.services.retain_routes(&state.routes);
+        self.table.store(Some(Arc::new(Table::new(state))));
+        true
+    }
+
+    /// The desired state in force.
+    #[must_use]
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.table.load_full()
+    }
+
+    /// Version of the desired state in force; 0 before the first one.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        let table = self.table.load();
+        table
+            .as_ref()
+            .map_or(Version::NONE, |table| table.state().version)
+    }
+
+    /// Adds a target or takes in its new registration.
+    pub fn put_target(&self, endpoint: Endpoint) {
+        self.services.put(endpoint);
+    }
+
+    /// Removes a target; requests on it run to their end.
+    pub fn remove_target(&self, target: &Target) {
+        self.services.remove(target);
+        self.upstreams.remove(target);
+    }
+
+    /// Learns how many entries serve callers.
+    pub fn set_entries(&self, entries: usize) {
+        self.services.set_entries(entries);
+    }
+
+    /// Closes all idle connections to targets, such as after a suspension.
+    pub fn close_idle(&self) {
+        self.upstreams.clear();
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        self.upstreams.sweep();
+    }
+
+    /// Asks callers to leave: connections end after their requests.
+    pub fn set_closing(&self) {
+        self.closing.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn takes(&self, endpoint: &Endpoint) -> bool {
+        let takes = self
+            .services
+            .with_pool(&endpoint.service, |pool, _| pool.takes(endpoint));
+        takes == Some(true)
+    }
+
+    fn limits(&self) -> carobdrift_routing::Limits {
+        let table = self.table.load();
+        let limits = table.as_ref().map(|table| table.state().limits);
+        limits.unwrap_or_default()
+    }
+}
+
+impl Service for Gateway {
+    fn limits(&self) -> Limits {
+        let limits = self.limits();
+        Limits {
+            head: usize::try_from(limits.max_header.0).unwrap_or(usize::MAX),
+            body: limits.max_body.0,
+        }
+    }
+
+    fn head_timeout(&self) -> Duration {
+        self.limits().header_timeout
+    }
+
+    fn idle_timeout(&self) -> Duration {
+        self.limits().idle_timeout
+    }
+
+    fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
+    async fn call(self: Arc<Self>, request: Request) -> Response {
+        self.relay(request).await
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,73 @@
+//! Metrics of the path of requests.
+
+use std::time::Duration;
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Bounds of the latency buckets, in seconds.
+const BUCKETS: &[f64] = &[
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0,
+];
+
+/// Metrics of the path of requests.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    pub(crate) requests: IntCounterVec,
+    pub(crate) latency: HistogramVec,
+    pub(crate) attempts: IntCounterVec,
+    pub(crate) probes: IntCounterVec,
+    pub(crate) connections: IntCounter,
+    pub(crate) callers: IntGauge,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric of the same name is registered already.
+    pub fn register(registry: &Registry) -> prometheus::Result<Self> {
+        let metrics = Self {
+            requests: IntCounterVec::new(
+                Opts::new("carobdrift_requests_total", "Requests by outcome"),
+                &["service", "outcome"],
+            )?,
+            latency: HistogramVec::new(
+                HistogramOpts::new(
+                    "carobdrift_request_seconds",
+                    "Time from the head of a request to its answer",
+                )
+                .buckets(BUCKETS.to_vec()),
+                &["service"],
+            )?,
+            attempts: IntCounterVec::new(
+                Opts::new("carobdrift_attempts_total", "Sends to targets by result"),
+                &["service", "result"],
+            )?,
+            probes: IntCounterVec::new(
+                Opts::new("carobdrift_probes_total", "Probes of targets by result"),
+                &["result"],
+            )?,
+            connections: IntCounter::new(
+                "carobdrift_target_connections_total",
+                "Connections opened to targets",
+            )?,
+            callers: IntGauge::new("carobdrift_caller_connections", "Open caller connections")?,
+        };
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.latency.clone()))?;
+        registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.probes.clone()))?;
+        registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.callers.clone()))?;
+        Ok(metrics)
+    }
+
+    pub(crate) fn request(&self, service: &str, outcome: &str, elapsed: Duration) {
+        self.requests.with_label_values(&[service, outcome]).inc();
+        let latency = self.latency.with_label_values(&[service]);
+        latency.observe(elapsed.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/http1/src/encode.rs
@@ -0,0 +1,65 @@
+//! Encoding of messages. Every body goes out under its length.
+
+use bytes::{BufMut, BytesMut};
+use http::{HeaderMap, Method, StatusCode};
+
+use crate::message::Response;
+
+/// Encodes a request with its body.
+#[must_use]
+pub fn encode_request(method: &Method, target: &str, headers: &HeaderMap, body: &[u8]) -> BytesMut {
+    let mut bytes = BytesMut::with_capacity(256 + target.len() + body.len());
+    bytes.put_slice(method.as_str().as_bytes());
+    bytes.put_u8(b' ');
+    bytes.put_slice(target.as_bytes());
+    bytes.put_slice(b" HTTP/1.1\r\n");
+    encode_headers(&mut bytes, headers);
+    let takes_body = *method == Method::POST || *method == Method::PUT || *method == Method::PATCH;
+    if takes_body || !body.is_empty() {
+        encode_length(&mut bytes, body.len());
+    }
+    bytes.put_slice(b"\r\n");
+    bytes.put_slice(body);
+    bytes
+}
+
+/// Encodes a response with its body to a request of the given method.
+#[must_use]
+pub fn encode_response(response: &Response, method: &Method) -> BytesMut {
+    let mut bytes = BytesMut::with_capacity(256 + response.body.len());
+    bytes.put_slice(b"HTTP/1.1 ");
+    bytes.put_slice(response.status.as_str().as_bytes());
+    bytes.put_u8(b' ');
+    let reason = response.status.canonical_reason().unwrap_or_default();
+    bytes.put_slice(reason.as_bytes());
+    bytes.put_slice(b"\r\n");
+    encode_headers(&mut bytes, &response.headers);
+    if !response.keep_alive {
+        bytes.put_slice(b"connection: close\r\n");
+    }
+    let bodiless =
+        response.status == StatusCode::NO_CONTENT || response.status == StatusCode::NOT_MODIFIED;
+    if !bodiless {
+        encode_length(&mut bytes, response.body.len());
+    }
+    bytes.put_slice(b"\r\n");
+    if !bodiless && *method != Method::HEAD {
+        bytes.put_slice(&response.body);
+    }
+    bytes
+}
+
+fn encode_headers(bytes: &mut BytesMut, headers: &HeaderMap) {
+    for (name, value) in headers {
+        bytes.put_slice(name.as_str().as_bytes());
+        bytes.put_slice(b": ");
+        bytes.put_slice(value.as_bytes());
+        bytes.put_slice(b"\r\n");
+    }
+}
+
+fn encode_length(bytes: &mut BytesMut, length: usize) {
+    bytes.put_slice(b"content-length: ");
+    bytes.put_slice(length.to_string().as_bytes());
+    bytes.put_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/http1/src/head.rs
@@ -0,0 +1,198 @@
+//! Heads of messages.
+
+use std::time::Duration;
+
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+
+use crate::body::Framing;
+use crate::reader::ReadError;
+
+/// Header fields of one message at most.
+const MAX_FIELDS: usize = 128;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+const TE: HeaderName = HeaderName::from_static("te");
+const TRAILER: HeaderName = HeaderName::from_static("trailer");
+
+/// Head of a request.
+#[derive(Debug)]
+pub(crate) struct RequestHead {
+    pub(crate) method: Method,
+    pub(crate) target: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) framing: Framing,
+    pub(crate) keep_alive: bool,
+}
+
+/// Head of a response.
+#[derive(Debug)]
+pub(crate) struct ResponseHead {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) framing: Framing,
+    pub(crate) keep_alive: bool,
+    pub(crate) idle_timeout: Option<Duration>,
+}
+
+/// Parses the head of a request; `None` while it is incomplete. Returns the
+/// number of bytes of the head.
+pub(crate) fn parse_request(bytes: &[u8]) -> Result<Option<(usize, RequestHead)>, ReadError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut request = httparse::Request::new(&mut fields);
+    let length = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(ReadError::HeadTooLarge),
+        Err(_) => return Err(ReadError::Malformed("head")),
+    };
+    let method = Method::from_bytes(request.method.unwrap_or_default().as_bytes())
+        .map_err(|_| ReadError::Malformed("method"))?;
+    let target = request.path.unwrap_or_default().to_owned();
+    if !target.starts_with('/') && target != "*" {
+        return Err(ReadError::Malformed("request target"));
+    }
+    let mut headers = collect(request.headers)?;
+    let length_framing = body_length(&headers)?;
+    let framing = length_framing.unwrap_or(Framing::Length(0));
+    let keep_alive = keeps_alive(&headers, request.version == Some(1));
+    remove_hop_by_hop(&mut headers);
+    let head = RequestHead {
+        method,
+        target,
+        headers,
+        framing,
+        keep_alive,
+    };
+    Ok(Some((length, head)))
+}
+
+/// Parses the head of a response to a request of the given method.
+pub(crate) fn parse_response(
+    bytes: &[u8],
+    method: &Method,
+) -> Result<Option<(usize, ResponseHead)>, ReadError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut response = httparse::Response::new(&mut fields);
+    let length = match response.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(ReadError::Malformed("head")),
+    };
+    let status = StatusCode::from_u16(response.code.unwrap_or_default())
+        .map_err(|_| ReadError::Malformed("status"))?;
+    let mut headers = collect(response.headers)?;
+    let bodiless = *method == Method::HEAD
+        || status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    let framing = if bodiless {
+        Framing::Length(0)
+    } else {
+        body_length(&headers)?.unwrap_or(Framing::Close)
+    };
+    let keep_alive =
+        keeps_alive(&headers, response.version == Some(1)) && framing != Framing::Close;
+    let idle_timeout = idle_timeout(&headers);
+    remove_hop_by_hop(&mut headers);
+    let head = ResponseHead {
+        status,
+        headers,
+        framing,
+        keep_alive,
+        idle_timeout,
+    };
+    Ok(Some((length, head)))
+}
+
+fn collect(fields: &[httparse::Header<'_>]) -> Result<HeaderMap, ReadError> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes())
+            .map_err(|_| ReadError::Malformed("field name"))?;
+        let value = HeaderValue::from_bytes(field.value)
+            .map_err(|_| ReadError::Malformed("field value"))?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+/// Framing that the header states. A message that states it more than once, or
+/// in two ways, could hide another message in its body.
+fn body_length(headers: &HeaderMap) -> Result<Option<Framing>, ReadError> {
+    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+    let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (lengths.next(), encodings.next()) {
+        (None, None) => Ok(None),
+        (Some(length), None) if lengths.next().is_none() => {
+            let digits = length.as_bytes();
+            if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+                return Err(ReadError::Malformed("content-length"));
+            }
+            let length = std::str::from_utf8(digits)
+                .ok()
+                .and_then(|text| text.parse().ok())
+                .ok_or(ReadError::Malformed("content-length"))?;
+            Ok(Some(Framing::Length(length)))
+        }
+        (None, Some(encoding))
+            if encodings.next().is_none()
+                && encoding.as_bytes().eq_ignore_ascii_case(b"chunked") =>
+        {
+            Ok(Some(Framing::Chunked))
+        }
+        _ => Err(ReadError::Malformed("body framing")),
+    }
+}
+
+fn keeps_alive(headers: &HeaderMap, http11: bool) -> bool {
+    let mut keep = http11;
+    for token in connection_tokens(headers) {
+        if token.eq_ignore_ascii_case("close") {
+            return false;
+        }
+        keep |= token.eq_ignore_ascii_case("keep-alive");
+    }
+    keep
+}
+
+fn connection_tokens(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .map(str::trim)
+}
+
+fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Removes the fields that concern one connection only, and those that frame
+/// the message: bodies are passed on whole, under a length of their own.
+fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = connection_tokens(headers)
+        .filter_map(|token| HeaderName::from_bytes(token.as_bytes()).ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        CONNECTION,
+        CONTENT_LENGTH,
+        KEEP_ALIVE,
+        PROXY_CONNECTION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/http1/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the message framing.
+
+mod client;
+mod server;
--- /dev/null
+++ b/crates/node/src/follower.rs
@@ -0,0 +1,324 @@
+//! Keeps an entry's knowledge current from the store and from other entries.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carobdrift_peers::{Beat, Event, Peers, Row, Rows, fetch};
+use carobdrift_routing::State;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::node::Shared;
+use crate::reader::Position;
+use crate::store::{Item, Reading, StoreError, Subject};
+
+/// Time for which the store is asked to wait for a change. A connection that
+/// went silent is noticed after this time.
+const FOLLOW_WAIT: Duration = Duration::from_secs(1);
+
+/// Pause after a change, so that changes in quick succession come in one call.
+const CHANGE_PAUSE: Duration = Duration::from_millis(120);
+
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest pause after failed calls; it doubles up to this.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// Interval at which an entry that does not read the store looks whether it
+/// should.
+const ROLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time for which an entry that began to read the store goes on.
+const READING_TIME: Duration = Duration::from_secs(3);
+
+/// Interval at which held removals are looked through.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time for which a revision that another entry knows may be missing before it
+/// is fetched: the changes themselves are on their way as datagrams.
+const FETCH_DELAY: Duration = Duration::from_millis(150);
+
+/// Starts all tasks that keep the knowledge current.
+pub(crate) fn spawn(shared: &Arc<Shared>, peers: &Peers, events: mpsc::Receiver<Event>) {
+    for subject in [Subject::State, Subject::Targets] {
+        tokio::spawn(follow(Arc::clone(shared), peers.clone(), subject));
+    }
+    tokio::spawn(settle(Arc::clone(shared), peers.clone()));
+    tokio::spawn(listen(Arc::clone(shared), peers.clone(), events));
+    tokio::spawn(join(Arc::clone(shared), peers.clone()));
+}
+
+/// Registers this entry and finds the others.
+async fn join(shared: Arc<Shared>, peers: Peers) {
+    peers.name(shared.settings.seeds.iter().copied());
+    peers.announce().await;
+    let mut pause = FAILURE_PAUSE;
+    loop {
+        let registered = match shared.store.register().await {
+            Ok(()) => shared.store.read(Subject::Entries).await,
+            Err(error) => Err(error),
+        };
+        match registered {
+            Ok(reading) => {
+                let entries = reading.records.into_iter().filter_map(|r| match r.item {
+                    Item::Entry(address) => Some(address),
+                    _ => None,
+                });
+                peers.name(entries);
+                peers.announce().await;
+                return;
+            }
+            Err(error) => {
+                log::warn!(target: "store", "event=register-failed error=\"{error}\"");
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(8 * LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Follows one subject of the store while it is this entry's turn.
+async fn follow(shared: Arc<Shared>, peers: Peers, subject: Subject) {
+    let mut after = None;
+    let mut pause = FAILURE_PAUSE;
+    let mut reads_until = Instant::now();
+    let mut failing = false;
+    loop {
+        let now = Instant::now();
+        let position = position(&shared, &peers, now);
+        if position.reads() {
+            reads_until = now + READING_TIME;
+        }
+        // Before the first reading nothing can be served.
+        let known = shared.has_read(subject);
+        if known && reads_until <= now {
+            after = None;
+            tokio::time::sleep(ROLE_INTERVAL).await;
+            continue;
+        }
+        let result = match after {
+            None => shared.store.read(subject).await,
+            Some(after) => shared.store.follow(subject, after, FOLLOW_WAIT).await,
+        };
+        match result {
+            Ok(reading) => {
+                if failing {
+                    log::info!(target: "store", "event=regained subject={subject:?}");
+                }
+                failing = false;
+                pause = FAILURE_PAUSE;
+                shared.note_answer(subject, Instant::now());
+                let whole = after.is_none();
+                after = Some(reading.revision);
+                let changed = take(&shared, &peers, subject, reading, whole).await;
+                if changed && !whole {
+                    tokio::time::sleep(CHANGE_PAUSE).await;
+                }
+            }
+            Err(StoreError::Compacted) => {
+                log::info!(target: "store", "event=compacted subject={subject:?}");
+                after = None;
+            }
+            Err(error) => {
+                if !failing {
+                    log::warn!(
+                        target: "store",
+                        "event=lost subject={subject:?} error=\"{error}\""
+                    );
+                }
+                failing = true;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Takes in a reading of the store and passes on what changed.
+async fn take(
+    shared: &Shared,
+    peers: &Peers,
+    subject: Subject,
+    reading: Reading,
+    whole: bool,
+) -> bool {
+    let now = Instant::now();
+    if subject == Subject::State {
+        let mut changed = false;
+        for record in reading.records {
+            if let Item::State(state) = record.item {
+                changed |= put_state(shared, state, "store");
+            }
+        }
+        if changed {
+            peers.announce().await;
+        }
+        return changed;
+    }
+    observe(shared, peers, now);
+    let revision = reading.revision;
+    let (started, rows) = {
+        let mut knowledge = shared.knowledge();
+        let started = !knowledge.is_complete();
+        let after = knowledge.revision();
+        let changed = if whole {
+            knowledge.replace(reading.records, revision, now)
+        } else {
+            knowledge.follow(reading.records, now)
+        };
+        let revision = knowledge.revision();
+        let rows = Rows {
+            after,
+            revision,
+            rows: changed,
+        };
+        (started, rows)
+    };
+    apply(shared, &rows.rows, "store");
+    if rows.rows.is_empty() {
+        return false;
+    }
+    // An entry that has just started has nothing new for the others.
+    if !started {
+        peers.pass_on(&rows).await;
+    }
+    true
+}
+
+/// Carries out removals that were held while targets could register again.
+async fn settle(shared: Arc<Shared>, peers: Peers) {
+    let mut interval = tokio::time::interval(SETTLE_INTERVAL);
+    loop {
+        interval.tick().await;
+        let now = Instant::now();
+        observe(&shared, &peers, now);
+        let (revision, changed) = {
+            let mut knowledge = shared.knowledge();
+            (knowledge.revision(), knowledge.settle(now))
+        };
+        if changed.is_empty() {
+            continue;
+        }
+        apply(&shared, &changed, "held");
+        let rows = Rows {
+            after: revision,
+            revision,
+            rows: changed,
+        };
+        peers.pass_on(&rows).await;
+    }
+}
+
+/// Takes in what other entries tell.
+async fn listen(shared: Arc<Shared>, peers: Peers, mut events: mpsc::Receiver<Event>) {
+    while let Some(event) = events.recv().await {
+        match event {
+            Event::Rows(rows) => {
+                let now = Instant::now();
+                let changed =
+                    shared
+                        .knowledge()
+                        .learn(rows.rows, rows.after, rows.revision, now);
+                apply(&shared, &changed, "peer");
+            }
+            Event::Beat(from, beat) => {
+                let newer = is_newer(&shared, &beat);
+                if newer && shared.begin_fetch() {
+                    let state_only = beat.state > shared.gateway.version();
+                    tokio::spawn(catch_up(Arc::clone(&shared), peers.clone(), from, beat, state_only));
+                }
+            }
+        }
+    }
+}
+
+fn is_newer(shared: &Shared, beat: &Beat) -> bool {
+    beat.state > shared.gateway.version() || beat.targets > shared.knowledge().revision()
+}
+
+/// Fetches what another entry knows and this one does not.
+async fn catch_up(
+    shared: Arc<Shared>,
+    peers: Peers,
+    from: IpAddr,
+    beat: Beat,
+    state: bool,
+) {
+    if !state {
+        tokio::time::sleep(FETCH_DELAY).await;
+    }
+    if is_newer(&shared, &beat) {
+        let known = shared.gateway.version();
+        match fetch(peers.snapshot_address(from), known).await {
+            Ok(snapshot) => {
+                if let Some(state) = snapshot.state {
+                    put_state(&shared, state, "peer");
+                }
+                let changed = shared.knowledge().adopt(
+                    snapshot.targets,
+                    snapshot.revision,
+                    Instant::now(),
+                );
+                apply(&shared, &changed, "peer");
+            }
+            Err(error) => {
+                log::warn!(target: "peers", "event=fetch-failed peer={from} error=\"{error}\"");
+            }
+        }
+    }
+    shared.end_fetch();
+}
+
+fn put_state(shared: &Shared, state: State, source: &str) -> bool {
+    let version = state.version;
+    let faults = state.check();
+    for fault in &faults {
+        log::warn!(target: "state", "event=fault version={version} fault=\"{fault}\"");
+    }
+    let routes = state.routes.len();
+    let put = shared.gateway.put_state(state);
+    if put {
+        log::info!(
+            target: "state",
+            "event=in-force version={version} routes={routes} source={source}"
+        );
+    }
+    put
+}
+
+fn apply(shared: &Shared, changed: &[Row], source: &str) {
+    for row in changed {
+        match &row.endpoint {
+            Some(endpoint) => {
+                log::info!(
+                    target: "target",
+                    "event=registered target={} service={} address={} state={:?} revision={} source={source}",
+                    row.target, endpoint.service, endpoint.address, endpoint.lifecycle, row.revision
+                );
+                shared.gateway.put_target(endpoint.clone());
+            }
+            None => {
+                log::info!(
+                    target: "target",
+                    "event=gone target={} revision={} source={source}",
+                    row.target, row.revision
+                );
+                shared.gateway.remove_target(&row.target);
+            }
+        }
+    }
+}
+
+fn position(shared: &Shared, peers: &Peers, now: Instant) -> Position {
+    let own = shared.settings.peer.ip();
+    Position::of(own, &shared.settings.zone, &peers.roster(), now)
+}
+
+/// Notes how long the store has been away, as far as any entry knows.
+fn observe(shared: &Shared, peers: &Peers, now: Instant) {
+    let age = position(shared, peers, now).peer_age;
+    let own = shared.store_age(now);
+    shared.knowledge().observe(age.min(own), now);
+}
--- /dev/null
+++ b/crates/placement/src/pool.rs
@@ -0,0 +1,247 @@
+//! Targets of one service.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use carobdrift_units::{Target, Zone};
+use rand::RngExt;
+use tokio::time::Instant;
+
+use crate::node::{Endpoint, Lifecycle, Node};
+use crate::report::{Load, Outcome};
+
+/// Age up to which a report decides without a probe. The speed of a target
+/// changes about every 150 ms, so a report of this age is right nine times out
+/// of ten.
+const FRESH: Duration = Duration::from_millis(12);
+
+/// Slowdown up to which a target counts as fast.
+const FAST: f64 = 1.6;
+
+/// Targets that are probed at a time for one request.
+const PROBES: usize = 3;
+
+/// Weight of a new report in the mean slowdown.
+const MEAN_GAIN: f64 = 0.01;
+
+/// Mean slowdown before the first report.
+const FIRST_MEAN: f64 = 2.0;
+
+/// Cost of a target in another availability zone, as a part of the usual time
+/// of a request: the way there, and the bytes between zones.
+const REMOTE_COST: f64 = 0.2;
+
+/// A request that needs a target.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Targets that it was sent to before.
+    pub tried: &'a [Target],
+    /// Targets that were probed for it.
+    pub probed: &'a [Target],
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether it must go out now, to the best target there is.
+    pub urgent: bool,
+}
+
+/// What to do with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// Send it to this target.
+    Send(Endpoint),
+    /// Probe these targets and ask again.
+    Probe(Vec<Endpoint>),
+    /// All targets are busy or slow; ask again soon.
+    Wait,
+    /// No target takes requests.
+    NoTarget,
+}
+
+/// Targets of one service, as one entry sees them.
+#[derive(Debug)]
+pub struct Pool {
+    zone: Zone,
+    nodes: HashMap<Target, Node>,
+    mean: f64,
+    attempts: u64,
+}
+
+impl Pool {
+    /// A pool without targets, for an entry in the given zone.
+    #[must_use]
+    pub fn new(zone: Zone) -> Self {
+        Self {
+            zone,
+            nodes: HashMap::new(),
+            mean: FIRST_MEAN,
+            attempts: 0,
+        }
+    }
+
+    /// Adds a target, or takes in its new registration. A new process under the
+    /// same id starts without a record.
+    pub fn put(&mut self, endpoint: Endpoint, now: Instant) {
+        let local = endpoint.zone == self.zone;
+        match self.nodes.get_mut(&endpoint.id) {
+            Some(node)
+                if node.endpoint.born == endpoint.born
+                    && node.endpoint.address == endpoint.address =>
+            {
+                node.update(endpoint, now);
+            }
+            _ => {
+                let id = endpoint.id.clone();
+                self.nodes.insert(id, Node::new(endpoint, local, now));
+            }
+        }
+    }
+
+    /// Removes a target.
+    pub fn remove(&mut self, target: &Target) {
+        self.nodes.remove(target);
+    }
+
+    /// Whether the pool has no targets.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Ready targets.
+    #[must_use]
+    pub fn ready(&self) -> usize {
+        let nodes = self.nodes.values();
+        nodes
+            .filter(|node| node.endpoint.lifecycle == Lifecycle::Ready)
+            .count()
+    }
+
+    /// Whether a target, in this very process, takes new requests.
+    #[must_use]
+    pub fn takes(&self, endpoint: &Endpoint) -> bool {
+        self.nodes.get(&endpoint.id).is_some_and(|node| {
+            node.endpoint.born == endpoint.born && node.endpoint.lifecycle == Lifecycle::Ready
+        })
+    }
+
+    /// Chooses a target.
+    #[must_use]
+    pub fn choose(&self, demand: Demand<'_>, now: Instant) -> Choice {
+        let mut ranked = self.rank(demand, now);
+        let Some(&(_, best)) = ranked.first() else {
+            return Choice::NoTarget;
+        };
+        if demand.urgent {
+            return Choice::Send(best.endpoint.clone());
+        }
+        if self.is_good(best, now) {
+            return Choice::Send(best.endpoint.clone());
+        }
+        ranked.retain(|(_, node)| {
+            let stale = node.age(now).is_none_or(|age| age > FRESH);
+            stale && !demand.probed.contains(&node.endpoint.id) && node.has_room(now)
+        });
+        if ranked.is_empty() {
+            return Choice::Wait;
+        }
+        let probes = ranked.iter().take(PROBES);
+        Choice::Probe(probes.map(|(_, node)| node.endpoint.clone()).collect())
+    }
+
+    /// Begins an attempt on a target, which is expected to take `work` at usual
+    /// speed. Returns its number.
+    pub fn begin(&mut self, target: &Target, work: Duration, now: Instant) -> u64 {
+        self.attempts += 1;
+        let mean = self.mean;
+        if let Some(node) = self.nodes.get_mut(target) {
+            let slowdown = node.slowdown(mean, now).max(1.0);
+            node.begin(self.attempts, work.mul_f64(slowdown), now);
+        }
+        self.attempts
+    }
+
+    /// Ends an attempt; returns the time that it took.
+    pub fn end(
+        &mut self,
+        target: &Target,
+        attempt: u64,
+        outcome: Outcome,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.nodes.get_mut(target)?.end(attempt, outcome, now)
+    }
+
+    /// Takes in the load that a target states.
+    pub fn report(&mut self, target: &Target, load: Load, now: Instant) {
+        let Some(node) = self.nodes.get_mut(target) else {
+            return;
+        };
+        node.report(load, now);
+        self.mean += MEAN_GAIN * (load.slowdown - self.mean);
+    }
+
+    /// Whether a request could be sent at once.
+    #[must_use]
+    pub fn has_good(&self, now: Instant) -> bool {
+        let mut nodes = self.nodes.values();
+        nodes.any(|node| node.is_usable(now) && self.is_good(node, now))
+    }
+
+    /// Notes that a target left a probe unanswered.
+    pub fn unanswered(&mut self, target: &Target) {
+        if let Some(node) = self.nodes.get_mut(target) {
+            node.unanswered();
+        }
+    }
+
+    /// Notes that a target can't be reached.
+    pub fn unreachable(&mut self, target: &Target, now: Instant) {
+        if let Some(node) = self.nodes.get_mut(target) {
+            node.unreachable(now);
+        }
+    }
+
+    /// Slowdown that a target stated last.
+    #[must_use]
+    pub fn slowdown(&self, target: &Target) -> Option<f64> {
+        self.nodes.get(target)?.stated_slowdown()
+    }
+
+    /// Whether a target is known to be fast and to have a free slot.
+    fn is_good(&self, node: &Node, now: Instant) -> bool {
+        let fresh = node.age(now).is_some_and(|age| age <= FRESH);
+        fresh && node.has_room(now) && node.slowdown(self.mean, now) <= FAST
+    }
+
+    /// Usable targets, cheapest first. Resting targets are used when there are
+    /// no others.
+    fn rank(&self, demand: Demand<'_>, now: Instant) -> Vec<(f64, &Node)> {
+        let mut random = rand::rng();
+        let mut ranked = Vec::with_capacity(self.nodes.len());
+        let mut resting = Vec::new();
+        for node in self.nodes.values() {
+            if node.endpoint.lifecycle != Lifecycle::Ready
+                || demand.tried.contains(&node.endpoint.id)
+            {
+                continue;
+            }
+            let remote = if node.local { 0.0 } else { REMOTE_COST };
+            // Targets of equal cost are used in turn.
+            let noise: f64 = random.random_range(0.0..0.05);
+            let mut cost = node.cost(self.mean, now) + remote + noise;
+            if node.is_on_trial() && !demand.repeatable {
+                cost *= 4.0;
+            }
+            if node.is_usable(now) {
+                ranked.push((cost, node));
+            } else {
+                resting.push((cost, node));
+            }
+        }
+        if ranked.is_empty() {
+            ranked = resting;
+        }
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+        ranked
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,13 @@
+//! Desired state of an installation: routes, services and limits.
+//!
+//! [`State`] is one version as an operator wrote it; [`Table`] finds the route
+//! of a request in it, and [`Splits`] chooses among the services of a route in
+//! proportion to their weights.
+
+mod split;
+mod state;
+mod table;
+
+pub use split::Splits;
+pub use state::{Backend, Fault, Kind, Limits, Route, Service, State};
+pub use table::{Table, host_name};
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,65 @@
+//! Lookup of routes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::state::{Route, State};
+
+/// A desired state with its routes by host.
+#[derive(Debug)]
+pub struct Table {
+    state: State,
+    /// Routes of each host, longest prefix first.
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+}
+
+impl Table {
+    /// Indexes a state.
+    #[must_use]
+    pub fn new(state: State) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in &state.routes {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self { state, hosts }
+    }
+
+    /// The state that is indexed.
+    #[must_use]
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// The route with the longest prefix that begins the path. `host` is a
+    /// host name without a port.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.host(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Routes of a host, longest prefix first.
+    #[must_use]
+    pub fn host(&self, host: &str) -> Option<&[Arc<Route>]> {
+        let routes = match self.hosts.get(host) {
+            Some(routes) => routes,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        Some(routes)
+    }
+}
+
+/// Host name of a `host` field, without its port.
+#[must_use]
+pub fn host_name(field: &str) -> &str {
+    match field.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => field,
+    }
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -3,6 +3,7 @@
 mod addresses;
 mod check;
 mod document;
+mod entry;
 mod serve;
 
 use std::future::Future;
@@ -14,6 +15,7 @@
 #[derive(Subcommand)]
 pub(crate) enum Command {
     Serve(Box<serve::Serve>),
+    Entry(entry::Entry),
     Check(check::Check),
     Document(document::Document),
     Addresses(addresses::Addresses),
@@ -23,6 +25,7 @@
     pub(crate) fn execute(self) -> eyre::Result<ExitCode> {
         match self {
             Self::Serve(serve) => serve.execute(),
+            Self::Entry(entry) => entry.execute(),
             Self::Check(check) => Ok(check.execute()),
             Self::Document(document) => block_on(document.execute()),
             Self::Addresses(addresses) => block_on(addresses.execute()),
--- /dev/null
+++ b/src/commands/entry.rs
@@ -0,0 +1,107 @@
+//! `carobdrift entry`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use carobdrift_adapter::{
+    Client, Directory, Headers, Invalid, Readiness, SETTINGS_VARIABLE, Settings, listen,
+};
+use carobdrift_node::{Node, set_up_logging};
+use clap::Args;
+use eyre::WrapErr;
+use log::LevelFilter;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Exit status for settings that are invalid.
+const INVALID_SETTINGS: u8 = 2;
+
+/// Run an entry on the platform
+///
+/// Reads the platform's settings file, keeps what lasts in the platform's
+/// store, and serves callers until SIGTERM. It then leaves the address answers,
+/// ends the requests in progress and exits with status 0. SIGHUP reads the
+/// settings file again.
+///
+/// Exit status: 2 when the settings file has faults; all are printed.
+#[derive(Debug, Args)]
+pub(crate) struct Entry {
+    /// Settings file of the platform
+    #[arg(long, env = SETTINGS_VARIABLE, value_name = "FILE")]
+    settings: PathBuf,
+    /// Least severe lines that are logged: error, warn, info, debug or trace
+    #[arg(long, default_value = "info")]
+    log_level: LevelFilter,
+    /// Check the settings file and exit
+    #[arg(long)]
+    check: bool,
+}
+
+impl Entry {
+    pub(crate) fn execute(self) -> eyre::Result<ExitCode> {
+        let settings = match Settings::read(&self.settings) {
+            Ok(settings) => settings,
+            Err(invalid) => {
+                print_faults(&invalid);
+                return Ok(ExitCode::from(INVALID_SETTINGS));
+            }
+        };
+        if self.check {
+            return Ok(ExitCode::SUCCESS);
+        }
+        set_up_logging(self.log_level)?;
+        // The platform's machines have one core.
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .wrap_err("could not start the runtime")?
+            .block_on(run(settings, self.settings))
+    }
+}
+
+fn print_faults(invalid: &Invalid) {
+    eprintln!("error: {invalid}");
+    if let Invalid::Faults(faults) = invalid {
+        for fault in faults {
+            eprintln!("error: {fault}");
+        }
+    }
+}
+
+async fn run(settings: Settings, path: PathBuf) -> eyre::Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't listen for SIGTERM")?;
+    let reload = signal(SignalKind::hangup()).wrap_err("can't listen for SIGHUP")?;
+    let directory = bind(settings.directory).await?;
+    let ready = bind(settings.ready).await?;
+    let store = Client::open(settings.store, settings.node.peer.ip());
+    let node = Node::spawn(settings.node, Arc::new(Headers), Arc::new(store))
+        .await
+        .wrap_err("the entry could not start")?;
+    let node = Arc::new(node);
+    tokio::spawn(listen(directory, Arc::new(Directory(Arc::clone(&node)))));
+    tokio::spawn(listen(ready, Arc::new(Readiness(Arc::clone(&node)))));
+    tokio::spawn(watch_settings(reload, path));
+    terminate.recv().await;
+    node.leave().await;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("can't listen on {address}"))
+}
+
+/// Reads the settings file again at each SIGHUP. Addresses stay as they are for
+/// the life of the process, so a valid file changes nothing that is running.
+async fn watch_settings(mut reload: Signal, path: PathBuf) {
+    while reload.recv().await.is_some() {
+        match Settings::read(&path) {
+            Ok(_) => log::info!(target: "entry", "event=reloaded outcome=valid"),
+            Err(invalid) => {
+                log::warn!(target: "entry", "event=reloaded outcome=refused error=\"{invalid}\"");
+            }
+        }
+    }
+}
