--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -44,6 +44,7 @@
 impl Gateway {
     /// Serves a request.
     pub(crate) async fn relay(self: Arc<Self>, request: Request) -> Response {
+        self.count_request();
         let received = request.received;
         let id = self
             .dialect
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Everything that requests need.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -15,6 +15,10 @@
 use crate::services::{Repeats, Services};
 use crate::upstream::Upstreams;
 
+/// Lateness of timers from which the processor counts as overloaded. Reports
+/// would be older than their use when they are taken in.
+const OVERLOAD_LATENESS: Duration = Duration::from_millis(25);
+
 /// Settings of the path of requests.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -37,6 +41,9 @@
     pub(crate) metrics: Metrics,
     table: ArcSwapOption<Table>,
     closing: AtomicBool,
+    requests: AtomicU64,
+    /// Whether the processor is so busy that timers fire late.
+    overloaded: AtomicBool,
 }
 
 impl Gateway {
@@ -55,6 +62,8 @@
             metrics,
             table: ArcSwapOption::empty(),
             closing: AtomicBool::new(false),
+            requests: AtomicU64::new(0),
+            overloaded: AtomicBool::new(false),
         })
     }
 
@@ -119,6 +128,32 @@
         self.closing.store(true, Ordering::Release);
     }
 
+    /// Requests since the start.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Learns how late timers fire.
+    pub fn note_lateness(&self, late: Duration) {
+        let overloaded = late > OVERLOAD_LATENESS;
+        if overloaded != self.overloaded.swap(overloaded, Ordering::Relaxed) {
+            log::warn!(
+                target: "entry",
+                "event=overload state={overloaded} late_ms={}",
+                late.as_millis()
+            );
+        }
+    }
+
+    pub(crate) fn is_overloaded(&self) -> bool {
+        self.overloaded.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_request(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+    }
+
     pub(crate) fn takes(&self, endpoint: &Endpoint) -> bool {
         let takes = self
             .services
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -60,7 +60,8 @@
         let work = self.services.work(&call.route);
         let held_until = call.received + call.route.target_latency.mul_f64(HOLD_PART);
         let mut probed = Vec::new();
-        let mut urgent = false;
+        // Probes would only add to the load of this machine.
+        let mut urgent = self.is_overloaded();
         loop {
             let demand = Demand {
                 tried,
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -142,6 +142,7 @@
         self.with_pool(&endpoint.service, |pool, now| {
             pool.report(&endpoint.id, load, now);
         });
+        self.freed.notify_waiters();
     }
 
     /// Ends an attempt and learns from its time.
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_peers::{Beat, Event, Peers, Row, Rows, fetch};
+use carobdrift_peers::{Event, News, Peers, Row, Rows, fetch};
 use carobdrift_routing::State;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -15,7 +15,7 @@
 
 /// Time for which the store is asked to wait for a change. A connection that
 /// went silent is noticed after this time.
-const FOLLOW_WAIT: Duration = Duration::from_secs(1);
+const FOLLOW_WAIT: Duration = Duration::from_millis(1500);
 
 /// Pause after a change, so that changes in quick succession come in one call.
 const CHANGE_PAUSE: Duration = Duration::from_millis(120);
@@ -33,6 +33,17 @@
 /// Time for which an entry that began to read the store goes on.
 const READING_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which an entry that starts waits for a word of the others before it
+/// reads the store.
+const JOIN_TIME: Duration = Duration::from_millis(500);
+
+/// Time after the start from which an entry that still knows nothing reads the
+/// store, whoever else does.
+const START_TIME: Duration = Duration::from_secs(2);
+
+/// Interval at which a hub makes sure that it is registered in the store.
+const REGISTER_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Interval at which held removals are looked through.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -50,51 +61,58 @@
     tokio::spawn(join(Arc::clone(shared), peers.clone()));
 }
 
-/// Registers this entry and finds the others.
+/// Finds the other entries, and registers this one if it is a hub: entries that
+/// start find a hub by the seeds or else by the store.
 async fn join(shared: Arc<Shared>, peers: Peers) {
     peers.name(shared.settings.seeds.iter().copied());
-    peers.announce().await;
-    let mut pause = FAILURE_PAUSE;
+    tokio::time::sleep(JOIN_TIME).await;
+    let mut registered = false;
+    let mut searched = false;
     loop {
-        let registered = match shared.store.register().await {
-            Ok(()) => shared.store.read(Subject::Entries).await,
-            Err(error) => Err(error),
-        };
-        match registered {
-            Ok(reading) => {
-                let entries = reading.records.into_iter().filter_map(|r| match r.item {
-                    Item::Entry(address) => Some(address),
-                    _ => None,
-                });
-                peers.name(entries);
-                peers.announce().await;
-                return;
+        let alone = position(&shared, &peers, Instant::now()).is_alone();
+        if alone && !searched {
+            match shared.store.read(Subject::Entries).await {
+                Ok(reading) => {
+                    searched = true;
+                    let entries = reading.records.into_iter().filter_map(|r| match r.item {
+                        Item::Entry(address) => Some(address),
+                        _ => None,
+                    });
+                    peers.name(entries);
+                }
+                Err(error) => log::warn!(target: "store", "event=search-failed error=\"{error}\""),
             }
-            Err(error) => {
-                log::warn!(target: "store", "event=register-failed error=\"{error}\"");
-                tokio::time::sleep(pause).await;
-                pause = (pause * 2).min(8 * LONGEST_PAUSE);
+        }
+        if !registered && peers.is_hub() {
+            match shared.store.register().await {
+                Ok(()) => registered = true,
+                Err(error) => log::warn!(target: "store", "event=register-failed error=\"{error}\""),
             }
         }
+        tokio::time::sleep(REGISTER_INTERVAL).await;
     }
 }
 
 /// Follows one subject of the store while it is this entry's turn.
 async fn follow(shared: Arc<Shared>, peers: Peers, subject: Subject) {
+    let begin = Instant::now();
     let mut after = None;
     let mut pause = FAILURE_PAUSE;
-    let mut reads_until = Instant::now();
+    let mut reads_until = begin;
     let mut failing = false;
     loop {
         let now = Instant::now();
         let position = position(&shared, &peers, now);
-        if position.reads() {
+        let joined = !position.is_alone() || begin + JOIN_TIME <= now;
+        let unknown = !shared.has_read(subject) && begin + START_TIME <= now;
+        if joined && (unknown || position.reads(shared.known_store_age(now))) {
             reads_until = now + READING_TIME;
         }
-        // Before the first reading nothing can be served.
-        let known = shared.has_read(subject);
-        if known && reads_until <= now {
+        if reads_until <= now {
             after = None;
+            if std::mem::take(&mut failing) {
+                shared.note_failure(subject, false);
+            }
             tokio::time::sleep(ROLE_INTERVAL).await;
             continue;
         }
@@ -107,7 +125,9 @@
                 if failing {
                     log::info!(target: "store", "event=regained subject={subject:?}");
                 }
-                failing = false;
+                if std::mem::take(&mut failing) {
+                    shared.note_failure(subject, false);
+                }
                 pause = FAILURE_PAUSE;
                 shared.note_answer(subject, Instant::now());
                 let whole = after.is_none();
@@ -128,7 +148,10 @@
                         "event=lost subject={subject:?} error=\"{error}\""
                     );
                 }
-                failing = true;
+                if !std::mem::replace(&mut failing, true) {
+                    shared.note_failure(subject, true);
+                    peers.announce().await;
+                }
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
@@ -157,7 +180,7 @@
         }
         return changed;
     }
-    observe(shared, peers, now);
+    observe(shared, now);
     let revision = reading.revision;
     let (started, rows) = {
         let mut knowledge = shared.knowledge();
@@ -181,7 +204,9 @@
         return false;
     }
     // An entry that has just started has nothing new for the others.
-    if !started {
+    if started {
+        peers.announce().await;
+    } else {
         peers.pass_on(&rows).await;
     }
     true
@@ -193,7 +218,7 @@
     loop {
         interval.tick().await;
         let now = Instant::now();
-        observe(&shared, &peers, now);
+        observe(&shared, now);
         let (revision, changed) = {
             let mut knowledge = shared.knowledge();
             (knowledge.revision(), knowledge.settle(now))
@@ -222,39 +247,41 @@
                         .knowledge()
                         .learn(rows.rows, rows.after, rows.revision, now);
                 apply(&shared, &changed, "peer");
+                if !changed.is_empty() {
+                    let rows = Rows {
+                        after: rows.after,
+                        revision: rows.revision,
+                        rows: changed,
+                    };
+                    peers.relay(&rows).await;
+                }
             }
-            Event::Beat(from, beat) => {
-                let newer = is_newer(&shared, &beat);
-                if newer && shared.begin_fetch() {
-                    let state_only = beat.state > shared.gateway.version();
-                    tokio::spawn(catch_up(Arc::clone(&shared), peers.clone(), from, beat, state_only));
+            Event::News(from, news) => {
+                shared.note_store_age(Duration::from_millis(news.store_age_ms.into()));
+                if is_newer(&shared, news) && shared.begin_fetch() {
+                    tokio::spawn(catch_up(Arc::clone(&shared), peers.clone(), from, news));
                 }
             }
         }
     }
 }
 
-fn is_newer(shared: &Shared, beat: &Beat) -> bool {
-    beat.state > shared.gateway.version() || beat.targets > shared.knowledge().revision()
+fn is_newer(shared: &Shared, news: News) -> bool {
+    news.state > shared.gateway.version() || news.targets > shared.knowledge().revision()
 }
 
 /// Fetches what another entry knows and this one does not.
-async fn catch_up(
-    shared: Arc<Shared>,
-    peers: Peers,
-    from: IpAddr,
-    beat: Beat,
-    state: bool,
-) {
-    if !state {
+async fn catch_up(shared: Arc<Shared>, peers: Peers, from: IpAddr, news: News) {
+    if news.state <= shared.gateway.version() {
         tokio::time::sleep(FETCH_DELAY).await;
     }
-    if is_newer(&shared, &beat) {
+    let mut announces = false;
+    if is_newer(&shared, news) {
         let known = shared.gateway.version();
         match fetch(peers.snapshot_address(from), known).await {
             Ok(snapshot) => {
                 if let Some(state) = snapshot.state {
-                    put_state(&shared, state, "peer");
+                    announces = put_state(&shared, state, "peer");
                 }
                 let changed = shared.knowledge().adopt(
                     snapshot.targets,
@@ -269,6 +296,9 @@
         }
     }
     shared.end_fetch();
+    if announces && peers.is_hub() {
+        peers.announce().await;
+    }
 }
 
 fn put_state(shared: &Shared, state: State, source: &str) -> bool {
@@ -317,8 +347,7 @@
 }
 
 /// Notes how long the store has been away, as far as any entry knows.
-fn observe(shared: &Shared, peers: &Peers, now: Instant) {
-    let age = position(shared, peers, now).peer_age;
-    let own = shared.store_age(now);
-    shared.knowledge().observe(age.min(own), now);
+fn observe(shared: &Shared, now: Instant) {
+    let age = shared.known_store_age(now);
+    shared.knowledge().observe(age, now);
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,13 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use carobdrift_gateway::{Dialect, Gateway, Listener, Metrics, Suspension};
-use carobdrift_peers::{Beat, Peers, Phase, Snapshot};
-use carobdrift_units::{Incarnation, Version, Zone};
+use carobdrift_peers::{Beat, News, Peers, Phase, Snapshot, StoreLink};
+use carobdrift_units::{Version, Zone};
 use prometheus::Registry;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -33,6 +33,9 @@
 /// Interval at which the clock and idle connections are looked at.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The same as a number.
+const INTERVALS_PER_SECOND: u32 = 4;
+
 /// Announcements of an entry that leaves; datagrams may be lost.
 const LEAVING_BEATS: usize = 3;
 
@@ -63,12 +66,28 @@
     pub(crate) store: Arc<dyn Store>,
     knowledge: Mutex<Knowledge>,
     /// Last good answer of the store for the desired state and the targets.
-    answers: Mutex<[Option<Instant>; 2]>,
-    incarnation: Incarnation,
+    answers: Mutex<Answers>,
+    /// Start of the process in Unix milliseconds.
+    started: u64,
+    /// Requests of the last second.
+    rate: AtomicU32,
     leaving: AtomicBool,
     fetching: AtomicBool,
 }
 
+/// Answers of the store.
+#[derive(Debug, Default)]
+struct Answers {
+    /// Last good answer to this entry.
+    state: Option<Instant>,
+    targets: Option<Instant>,
+    /// Last good answer that another entry had, as far as it is known.
+    others: Option<Instant>,
+    /// Whether the last call failed.
+    state_fails: bool,
+    targets_fail: bool,
+}
+
 /// A running entry.
 pub struct Node {
     shared: Arc<Shared>,
@@ -97,7 +116,8 @@
             store,
             knowledge: Mutex::default(),
             answers: Mutex::default(),
-            incarnation: Incarnation::draw(),
+            started: unix_ms(),
+            rate: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             fetching: AtomicBool::new(false),
             settings,
@@ -108,9 +128,9 @@
         let listener = Listener::spawn(callers, gateway);
         log::info!(
             target: "entry",
-            "event=started name={} zone={} caller={} peer={} incarnation={}",
+            "event=started name={} zone={} caller={} peer={} started={}",
             shared.settings.name, shared.settings.zone, shared.settings.caller,
-            shared.settings.peer, shared.incarnation
+            shared.settings.peer, shared.started
         );
         Ok(Self {
             shared,
@@ -130,19 +150,25 @@
     #[must_use]
     pub fn addresses(&self, host: &str, zone: Option<&Zone>) -> (Vec<SocketAddr>, Duration) {
         let now = Instant::now();
+        let port = self.shared.settings.caller.port();
         let mut ready: Vec<Ready> = self
             .peers
             .roster()
-            .ready(now)
-            .map(|(zone, caller)| Ready {
-                zone: zone.clone(),
-                caller,
+            .alive(now)
+            .filter(|(_, peer)| peer.phase == Phase::Ready)
+            .map(|(address, peer)| Ready {
+                zone: peer.zone.clone(),
+                caller: SocketAddr::new(address, port),
+                capacity: peer.capacity,
+                rate: peer.rate,
             })
             .collect();
         if self.is_ready() {
             ready.push(Ready {
                 zone: self.shared.settings.zone.clone(),
                 caller: self.shared.settings.caller,
+                capacity: self.shared.settings.capacity,
+                rate: self.shared.rate.load(Ordering::Relaxed),
             });
         }
         let table = self.shared.gateway.table();
@@ -182,26 +208,45 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn answers(&self) -> MutexGuard<'_, Answers> {
+        self.answers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes a good answer of the store.
     pub(crate) fn note_answer(&self, subject: Subject, now: Instant) {
-        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut answers = self.answers();
         match subject {
-            Subject::State => answers[0] = Some(now),
-            Subject::Targets => answers[1] = Some(now),
+            Subject::State => answers.state = Some(now),
+            Subject::Targets => answers.targets = Some(now),
             Subject::Entries => {}
         }
     }
 
-    /// Age of the last good answer of the store for everything that is
-    /// followed.
-    pub(crate) fn store_age(&self, now: Instant) -> Duration {
-        let answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
-        match *answers {
-            [Some(state), Some(targets)] => now.saturating_duration_since(state.min(targets)),
-            _ => Duration::MAX,
+    /// Notes whether calls of the store fail.
+    pub(crate) fn note_failure(&self, subject: Subject, fails: bool) {
+        let mut answers = self.answers();
+        match subject {
+            Subject::State => answers.state_fails = fails,
+            Subject::Targets => answers.targets_fail = fails,
+            Subject::Entries => {}
         }
     }
 
+    /// Notes the age of an answer of the store that another entry knows of.
+    pub(crate) fn note_store_age(&self, age: Duration) {
+        let at = Instant::now().checked_sub(age);
+        let mut answers = self.answers();
+        answers.others = answers.others.max(at);
+    }
+
+    /// Age of the newest good answer of the store that this entry knows of.
+    pub(crate) fn known_store_age(&self, now: Instant) -> Duration {
+        let answers = self.answers();
+        let own = answers.state.min(answers.targets);
+        own.max(answers.others)
+            .map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
     /// Whether a subject is known, from the store or from another entry.
     pub(crate) fn has_read(&self, subject: Subject) -> bool {
         match subject {
@@ -229,16 +274,29 @@
         }
     }
 
-    fn beat(&self) -> Beat {
-        let age = self.store_age(Instant::now()).as_millis();
+    fn beat(&self, sequence: u32) -> Beat {
+        let age = self.known_store_age(Instant::now()).as_millis();
+        let fails = {
+            let answers = self.answers();
+            answers.state_fails || answers.targets_fail
+        };
         Beat {
-            incarnation: self.incarnation,
+            started: self.started,
+            sequence,
             zone: self.settings.zone.clone(),
-            caller: self.settings.caller,
             phase: self.phase(),
-            state: self.gateway.version(),
-            targets: self.knowledge().revision(),
-            store_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            capacity: self.settings.capacity,
+            rate: self.rate.load(Ordering::Relaxed),
+            store: if fails {
+                StoreLink::Failing
+            } else {
+                StoreLink::Good
+            },
+            news: News {
+                state: self.gateway.version(),
+                targets: self.knowledge().revision(),
+                store_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            },
         }
     }
 
@@ -268,7 +326,7 @@
     let source = Arc::clone(shared);
     Peers::bind(
         settings,
-        Box::new(move || stating.beat()),
+        Box::new(move |sequence| stating.beat(sequence)),
         Arc::new(move |known| source.snapshot(known)),
     )
     .await
@@ -281,12 +339,24 @@
         .map_err(|cause| Error::Listen { address, cause })
 }
 
+/// Time of day in Unix milliseconds; 0 on a clock that is before 1970.
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX))
+}
+
 /// Looks after the clock, idle connections and the number of entries.
 async fn upkeep(shared: Arc<Shared>, peers: Peers) {
     let mut suspension = Suspension::default();
-    let mut interval = tokio::time::interval(UPKEEP_INTERVAL);
+    let mut requests = shared.gateway.requests();
+    let mut due = Instant::now();
     loop {
-        interval.tick().await;
+        due += UPKEEP_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        // What runs late here ran late everywhere: this thread serves all.
+        let late = due.elapsed();
+        shared.gateway.note_lateness(late);
+        due = Instant::now();
         if let Some(slept) = suspension.take() {
             log::warn!(target: "entry", "event=suspended ms={}", slept.as_millis());
             shared.gateway.close_idle();
@@ -294,6 +364,18 @@
         shared.gateway.sweep();
         let alive = peers.roster().alive(Instant::now()).count();
         shared.gateway.set_entries(alive + 1);
+        let total = shared.gateway.requests();
+        note_rate(&shared.rate, total - requests);
+        requests = total;
     }
 }
 
+/// Takes the requests of one interval into the rate of a second.
+fn note_rate(rate: &AtomicU32, requests: u64) {
+    let now = u32::try_from(requests).unwrap_or(u32::MAX);
+    let now = now.saturating_mul(INTERVALS_PER_SECOND);
+    let before = rate.load(Ordering::Relaxed);
+    // A rising rate counts at once, a falling one over about a second.
+    let next = now.max(before - before / INTERVALS_PER_SECOND);
+    rate.store(next, Ordering::Relaxed);
+}
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -3,35 +3,38 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use carobdrift_peers::{Phase, Roster};
+use carobdrift_peers::{Phase, Roster, StoreLink};
 use carobdrift_units::Zone;
 use tokio::time::Instant;
 
-/// Entries that always read the store. Two in different zones, so that the
-/// loss of one leaves no gap.
+/// Entries that read the store. Two in different zones, so that the loss of one
+/// leaves no gap.
 const READERS: usize = 2;
 
-/// Age of the newest answer of the store that any entry has, from which the
-/// next entries read it too.
-const STALE_AFTER: Duration = Duration::from_millis(1400);
-
-/// Time by which each further entry waits longer, so that not all of them call
-/// a store that is away.
-const RANK_DELAY: Duration = Duration::from_millis(120);
+/// Entries that call a store that fails; more calls would not help it to
+/// return.
+const MOST_READERS: usize = 8;
 
 /// Time without a word of any other entry after which this one relies on
 /// itself.
-const ALONE_AFTER: Duration = Duration::from_millis(1200);
+const ALONE_AFTER: Duration = Duration::from_millis(1300);
+
+/// Age of the newest answer of the store that any entry has, from which further
+/// entries read it, whatever the readers state.
+const STALE_AFTER: Duration = Duration::from_millis(4500);
+
+/// Time by which each further entry waits longer, and its bound.
+const RANK_DELAY: Duration = Duration::from_millis(100);
+const LONGEST_DELAY: Duration = Duration::from_secs(2);
 
-/// This entry among the others.
+/// This entry among the others, as far as reading the store goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Position {
-    /// Entries that read the store before this one does.
-    pub(crate) rank: usize,
-    /// Age of the newest answer of the store that any other entry has.
-    pub(crate) peer_age: Duration,
-    /// Whether no other entry was heard of lately.
-    pub(crate) alone: bool,
+    /// Entries that read the store before this one.
+    rank: usize,
+    /// Those of them whose calls fail.
+    failing: usize,
+    alone: bool,
 }
 
 impl Position {
@@ -39,42 +42,49 @@
     /// ranked by their place in their zone first, so that the first ones are in
     /// different zones.
     pub(crate) fn of(own: IpAddr, zone: &Zone, roster: &Roster, now: Instant) -> Self {
-        let mut entries: Vec<(&Zone, IpAddr)> = roster
-            .alive(now)
-            .filter(|(_, peer)| peer.beat.phase != Phase::Leaving)
-            .map(|(address, peer)| (&peer.beat.zone, address))
-            .collect();
-        entries.push((zone, own));
-        entries.sort_unstable();
+        let alive = || {
+            let peers = roster.alive(now);
+            peers.filter(|(_, peer)| peer.phase != Phase::Leaving)
+        };
         let place = |zone: &Zone, address: IpAddr| {
-            entries
-                .iter()
-                .filter(|(other, before)| *other == zone && *before < address)
-                .count()
+            let before = alive().filter(|(other, peer)| peer.zone == *zone && *other < address);
+            before.count()
         };
         let own_key = (place(zone, own), zone, own);
-        let rank = entries
-            .iter()
-            .filter(|(zone, address)| (place(zone, *address), *zone, *address) < own_key)
-            .count();
-        let ages = roster.alive(now).map(|(_, peer)| peer.store_age(now));
-        let silence = roster
-            .alive(now)
-            .map(|(_, peer)| now.saturating_duration_since(peer.heard))
-            .min();
+        let (mut rank, mut failing) = (0, 0);
+        for (address, peer) in alive() {
+            let mut before = place(&peer.zone, address);
+            if peer.zone == *zone && own < address {
+                before += 1;
+            }
+            if (before, &peer.zone, address) < own_key {
+                rank += 1;
+                failing += usize::from(peer.store == StoreLink::Failing);
+            }
+        }
         Self {
             rank,
-            peer_age: ages.min().unwrap_or(Duration::MAX),
-            alone: silence.is_none_or(|silence| silence > ALONE_AFTER),
+            failing,
+            alone: roster.silence(now) > ALONE_AFTER,
         }
     }
 
-    /// Whether this entry reads the store.
-    pub(crate) fn reads(self) -> bool {
+    /// Whether no other entry was heard of lately.
+    pub(crate) fn is_alone(self) -> bool {
+        self.alone
+    }
+
+    /// Whether this entry reads the store, given the age of the newest answer
+    /// that it knows of.
+    pub(crate) fn reads(self, store_age: Duration) -> bool {
         if self.alone || self.rank < READERS {
             return true;
         }
-        let rank = u32::try_from(self.rank - READERS).unwrap_or(u32::MAX);
-        self.peer_age > STALE_AFTER + RANK_DELAY.saturating_mul(rank)
+        if self.rank < MOST_READERS && self.rank - self.failing < READERS {
+            return true;
+        }
+        let rank = u32::try_from(self.rank).unwrap_or(u32::MAX);
+        let delay = RANK_DELAY.saturating_mul(rank).min(LONGEST_DELAY);
+        self.rank < MOST_READERS && store_age > STALE_AFTER + delay
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -21,6 +21,8 @@
     pub metrics: SocketAddr,
     /// Entries that may be running.
     pub seeds: Vec<IpAddr>,
+    /// Processor of the machine, in thousandths of a core.
+    pub capacity: u32,
     /// Time for which callers may keep an address answer, as far as the
     /// platform allows.
     pub max_ttl: Duration,
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -1,18 +1,22 @@
 //! Datagrams between entries.
 
-use std::net::SocketAddr;
+use std::net::IpAddr;
 
 use carobdrift_placement::Endpoint;
-use carobdrift_units::{Incarnation, Target, Version, Zone};
+use carobdrift_units::{Target, Version, Zone};
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram, in bytes; it fits into one packet of an ordinary network.
 pub(crate) const MAX_DATAGRAM: usize = 1400;
 
 /// One datagram.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Datagram {
+    /// What an entry states of itself.
     Beat(Beat),
+    /// What a hub knows of the entries.
+    Digest(Digest),
+    /// Changes of targets.
     Rows(Rows),
 }
 
@@ -27,25 +31,72 @@
     Leaving,
 }
 
+/// How an entry stands to the platform's store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreLink {
+    /// It does not read the store, or its last calls had answers.
+    Good,
+    /// Its last call of the store failed.
+    Failing,
+}
+
 /// What an entry states of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
-    /// Incarnation of the process.
-    pub incarnation: Incarnation,
+    /// Start of the process in Unix milliseconds; orders two processes of one
+    /// machine.
+    pub started: u64,
+    /// Number of the statement; orders those of one process.
+    pub sequence: u32,
     /// Availability zone of the entry.
     pub zone: Zone,
-    /// Address for callers.
-    pub caller: SocketAddr,
     /// Whether it takes callers.
     pub phase: Phase,
+    /// Processor that it has, in thousandths of a core.
+    pub capacity: u32,
+    /// Requests that it served in the last second.
+    pub rate: u32,
+    /// How it stands to the platform's store.
+    pub store: StoreLink,
+    /// What it knows.
+    pub news: News,
+}
+
+/// How much an entry knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
     /// Version of the desired state in force.
     pub state: Version,
     /// Revision of the store up to which it knows all targets.
     pub targets: u64,
-    /// Age of its last good answer of the store, in milliseconds.
+    /// Age of the newest good answer of the store that it knows of, in
+    /// milliseconds.
     pub store_age_ms: u32,
 }
 
+/// What a hub knows of the entries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Digest {
+    pub(crate) members: Vec<Member>,
+    /// What the hub knows.
+    pub(crate) news: News,
+}
+
+/// One entry in a digest.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Member {
+    pub(crate) address: IpAddr,
+    pub(crate) started: u64,
+    pub(crate) sequence: u32,
+    pub(crate) zone: Zone,
+    pub(crate) phase: Phase,
+    pub(crate) capacity: u32,
+    pub(crate) rate: u32,
+    pub(crate) store: StoreLink,
+    /// Age of the entry's last word, in milliseconds.
+    pub(crate) age_ms: u32,
+}
+
 /// Changes of targets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rows {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,16 +1,18 @@
 //! What the entries of an installation tell each other.
 //!
-//! Entries beat to each other by datagrams and pass on changes of targets the
-//! same way; a desired state, and whatever a lost datagram left out, is fetched
-//! as a [`Snapshot`] over TCP. There is no coordinator: each entry keeps a
-//! [`Roster`] of its own.
+//! The first entries of each availability zone are its *hubs*. Every entry beats
+//! to the hubs of its zone; a hub tells all entries of its zone, and the hubs of
+//! the other zones, which entries there are and what is new. The cost between
+//! zones therefore grows with the number of zones, not of entries. There is no
+//! coordinator: each entry keeps a [`Roster`] of its own and derives the hubs
+//! from it. Whatever a lost datagram left out is fetched as a [`Snapshot`].
 
 mod datagram;
 mod peers;
 mod roster;
 mod snapshot;
 
-pub use datagram::{Beat, Phase, Row, Rows};
+pub use datagram::{Beat, News, Phase, Row, Rows, StoreLink};
 pub use peers::{Event, Peers, Settings};
 pub use roster::{Peer, Roster};
 pub use snapshot::{FetchError, Snapshot, fetch};
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,24 +12,35 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::datagram::{Beat, Datagram, MAX_DATAGRAM, Row, Rows};
-use crate::roster::Roster;
+use crate::datagram::{Beat, Datagram, Digest, MAX_DATAGRAM, Member, News, Row, Rows};
+use crate::roster::{Peer, Roster};
 use crate::snapshot::{Server, Snapshot};
 
-/// Interval of beats to entries of the same zone.
-const LOCAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of beats and digests within a zone.
+const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Beats to other zones, and to entries that do not answer, go out each this
-/// many intervals: bytes between zones are dear.
-const REMOTE_EVERY: u64 = 2;
+/// Digests to other zones go out each this many intervals: bytes between zones
+/// are dear.
+const REMOTE_EVERY: u32 = 2;
 
-/// Events that wait to be taken in. More are dropped: beats repeat, and rows
-/// that are missed are fetched.
-const EVENTS: usize = 256;
+/// Interval at which an entry that nobody answered yet beats to the entries
+/// that it was told of.
+const JOIN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Entries of another zone that a hub tells its own zone of. They are used only
+/// when the zone has none of its own.
+const FOREIGN_MEMBERS: usize = 8;
+
+/// Entries of one digest; they fit into one packet.
+const MEMBERS: usize = 28;
 
 /// Rows of one datagram; with ids of usual length they fit into one packet.
 const ROWS: usize = 8;
 
+/// Events that wait to be taken in. More are dropped: digests repeat, and rows
+/// that are missed are fetched.
+const EVENTS: usize = 256;
+
 /// Settings of the exchange between entries.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -42,8 +54,8 @@
 /// What another entry told.
 #[derive(Debug, Clone)]
 pub enum Event {
-    /// A beat.
-    Beat(IpAddr, Beat),
+    /// How much it knows.
+    News(IpAddr, News),
     /// Changes of targets.
     Rows(Rows),
 }
@@ -58,20 +70,21 @@
     socket: UdpSocket,
     settings: Settings,
     roster: Mutex<Roster>,
-    statement: Box<dyn Fn() -> Beat + Send + Sync>,
+    sequence: AtomicU32,
+    statement: Box<dyn Fn(u32) -> Beat + Send + Sync>,
 }
 
 impl Peers {
     /// Starts to beat and to serve snapshots. `statement` tells what this entry
-    /// states of itself, `source` what it knows beyond a version of the desired
-    /// state.
+    /// states of itself, under the number that it is given; `source` what it
+    /// knows beyond a version of the desired state.
     ///
     /// # Errors
     ///
     /// Fails when the address can't be bound.
     pub async fn bind(
         settings: Settings,
-        statement: Box<dyn Fn() -> Beat + Send + Sync>,
+        statement: Box<dyn Fn(u32) -> Beat + Send + Sync>,
         source: Arc<dyn Fn(Version) -> Snapshot + Send + Sync>,
     ) -> io::Result<(Self, mpsc::Receiver<Event>)> {
         let socket = UdpSocket::bind(settings.address).await?;
@@ -81,6 +94,7 @@
                 socket,
                 settings,
                 roster: Mutex::default(),
+                sequence: AtomicU32::new(0),
                 statement,
             }),
         };
@@ -94,7 +108,7 @@
     /// Contacts entries that may exist.
     pub fn name(&self, addresses: impl IntoIterator<Item = IpAddr>) {
         let now = Instant::now();
-        let own = self.shared.settings.address.ip();
+        let own = self.own();
         let mut roster = self.roster();
         for address in addresses {
             if address != own {
@@ -115,60 +129,166 @@
         SocketAddr::new(entry, self.shared.settings.address.port())
     }
 
-    /// Beats to all entries now, because something changed.
+    /// Whether this entry is a hub of its zone.
+    #[must_use]
+    pub fn is_hub(&self) -> bool {
+        let own = self.own();
+        let zone = &self.shared.settings.zone;
+        let hubs = self.roster().hubs(own, zone, Instant::now());
+        hubs.get(zone).is_some_and(|hubs| hubs.contains(&own))
+    }
+
+    /// Tells the other entries now, because something changed here.
     pub async fn announce(&self) {
-        self.send_beats(true).await;
+        if self.is_hub() {
+            self.send_digest(true).await;
+        }
+        self.send_beat().await;
     }
 
-    /// Passes changes of targets on to all entries.
+    /// Passes changes of targets on, from the entry that read them in the
+    /// store: to the hubs of all zones, and by them to their zones.
     pub async fn pass_on(&self, rows: &Rows) {
-        let addresses: Vec<IpAddr> = {
-            let roster = self.roster();
-            let alive = roster.alive(Instant::now());
-            alive.map(|(address, _)| address).collect()
-        };
-        for part in rows.rows.chunks(ROWS) {
-            let part = Datagram::Rows(Rows {
-                after: rows.after,
-                // Only the last part completes the revision.
-                revision: if is_last(part, &rows.rows) {
-                    rows.revision
-                } else {
-                    rows.after
-                },
-                rows: part.to_vec(),
-            });
-            self.send(&part, &addresses).await;
+        let mut addresses = self.all_hubs();
+        if self.is_hub() {
+            addresses.extend(self.neighbours());
         }
+        self.send_rows(rows, &addresses).await;
+    }
+
+    /// Passes changes on that another entry told, if this entry is a hub.
+    pub async fn relay(&self, rows: &Rows) {
+        if self.is_hub() {
+            let addresses = self.neighbours();
+            self.send_rows(rows, &addresses).await;
+        }
+    }
+
+    fn own(&self) -> IpAddr {
+        self.shared.settings.address.ip()
+    }
+
+    /// Hubs of all zones but this entry.
+    fn all_hubs(&self) -> Vec<IpAddr> {
+        let own = self.own();
+        let zone = &self.shared.settings.zone;
+        let hubs = self.roster().hubs(own, zone, Instant::now());
+        let addresses = hubs.into_values().flatten();
+        addresses.filter(|address| *address != own).collect()
+    }
+
+    /// Hubs of this entry's zone but itself.
+    fn zone_hubs(&self) -> Vec<IpAddr> {
+        let own = self.own();
+        let zone = &self.shared.settings.zone;
+        let mut hubs = self.roster().hubs(own, zone, Instant::now());
+        let addresses = hubs.remove(zone).unwrap_or_default();
+        addresses
+            .into_iter()
+            .filter(|address| *address != own)
+            .collect()
+    }
+
+    /// Entries of this entry's zone that are no hubs.
+    fn neighbours(&self) -> Vec<IpAddr> {
+        let hubs = self.zone_hubs();
+        let now = Instant::now();
+        let zone = &self.shared.settings.zone;
+        let roster = self.roster();
+        let local = roster.alive(now).filter(|(_, peer)| peer.zone == *zone);
+        local
+            .map(|(address, _)| address)
+            .filter(|address| !hubs.contains(address))
+            .collect()
     }
 
     async fn beat(self) {
-        let mut interval = tokio::time::interval(LOCAL_INTERVAL);
-        let mut count = 0_u64;
+        let mut round = 0_u32;
         loop {
-            interval.tick().await;
-            self.send_beats(count.is_multiple_of(REMOTE_EVERY)).await;
-            count += 1;
+            let alone = self.roster().silence(Instant::now()) > INTERVAL * 4;
+            self.send_beat().await;
+            if self.is_hub() {
+                self.send_digest(round.is_multiple_of(REMOTE_EVERY)).await;
+            }
+            round = round.wrapping_add(1);
             self.roster().sweep(Instant::now());
+            tokio::time::sleep(if alone { JOIN_INTERVAL } else { INTERVAL }).await;
         }
     }
 
-    async fn send_beats(&self, everywhere: bool) {
+    fn statement(&self) -> Beat {
+        let sequence = self.shared.sequence.fetch_add(1, Ordering::Relaxed);
+        (self.shared.statement)(sequence + 1)
+    }
+
+    async fn send_beat(&self) {
+        let mut addresses = self.zone_hubs();
+        addresses.extend(self.roster().named());
+        let beat = Datagram::Beat(self.statement());
+        self.send(&beat, &addresses).await;
+    }
+
+    async fn send_digest(&self, everywhere: bool) {
+        let beat = self.statement();
+        let zone = &beat.zone;
         let now = Instant::now();
-        let zone = &self.shared.settings.zone;
-        let addresses: Vec<IpAddr> = {
+        let (mut members, mut foreign) = (Vec::new(), Vec::new());
+        {
             let roster = self.roster();
-            let contacts = roster.contacts();
-            let due = contacts.filter(|(_, peer)| {
-                everywhere || peer.is_some_and(|p| p.is_alive(now) && p.beat.zone == *zone)
+            let mut counts = std::collections::HashMap::new();
+            for (address, peer) in roster.alive(now) {
+                if peer.zone == *zone {
+                    members.push(member(address, peer, now));
+                    continue;
+                }
+                let count = counts.entry(peer.zone.clone()).or_insert(0);
+                *count += 1;
+                if *count <= FOREIGN_MEMBERS {
+                    foreign.push(member(address, peer, now));
+                }
+            }
+        }
+        members.push(member(self.own(), &Peer::from((&beat, now)), now));
+        let neighbours = self.neighbours();
+        let hubs = self.zone_hubs();
+        self.send_members(&foreign, beat.news, &neighbours).await;
+        let mut receivers = neighbours;
+        receivers.extend(if everywhere { self.all_hubs() } else { hubs });
+        self.send_members(&members, beat.news, &receivers).await;
+    }
+
+    async fn send_members(&self, members: &[Member], news: News, receivers: &[IpAddr]) {
+        for part in members.chunks(MEMBERS) {
+            let digest = Datagram::Digest(Digest {
+                members: part.to_vec(),
+                news,
             });
-            due.map(|(address, _)| address).collect()
-        };
-        let beat = Datagram::Beat((self.shared.statement)());
-        self.send(&beat, &addresses).await;
+            self.send(&digest, receivers).await;
+        }
+    }
+
+    async fn send_rows(&self, rows: &Rows, addresses: &[IpAddr]) {
+        let last = rows.rows.len().div_ceil(ROWS).saturating_sub(1);
+        for (index, part) in rows.rows.chunks(ROWS).enumerate() {
+            let part: Vec<Row> = part.to_vec();
+            let datagram = Datagram::Rows(Rows {
+                after: rows.after,
+                // Only the last part completes the revision.
+                revision: if index == last {
+                    rows.revision
+                } else {
+                    rows.after
+                },
+                rows: part,
+            });
+            self.send(&datagram, addresses).await;
+        }
     }
 
     async fn send(&self, datagram: &Datagram, addresses: &[IpAddr]) {
+        if addresses.is_empty() {
+            return;
+        }
         let bytes = match postcard::to_allocvec(datagram) {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -179,7 +299,7 @@
         for address in addresses {
             let address = self.snapshot_address(*address);
             if let Err(error) = self.shared.socket.send_to(&bytes, address).await {
-                // Datagrams may be lost anyway; the next beat makes up for it.
+                // Datagrams may be lost anyway; the next one makes up for it.
                 log::debug!(target: "peers", "event=send-failed peer={address} error=\"{error}\"");
             }
         }
@@ -195,40 +315,69 @@
                     continue;
                 }
             };
-            let event = match postcard::from_bytes(&buffer[..length]) {
-                Ok(Datagram::Beat(beat)) => {
-                    self.hear(from.ip(), &beat).await;
-                    Event::Beat(from.ip(), beat)
-                }
-                Ok(Datagram::Rows(rows)) => Event::Rows(rows),
+            let datagram = match postcard::from_bytes(&buffer[..length]) {
+                Ok(datagram) => datagram,
                 Err(error) => {
                     log::warn!(target: "peers", "event=malformed from={from} error=\"{error}\"");
                     continue;
                 }
             };
+            let event = self.take(from.ip(), datagram).await;
             if events.try_send(event).is_err() {
                 log::warn!(target: "peers", "event=dropped from={from} reason=queue-full");
             }
         }
     }
 
-    async fn hear(&self, from: IpAddr, beat: &Beat) {
-        let new = self.roster().hear(from, beat.clone(), Instant::now());
-        if new {
-            log::info!(
-                target: "peers",
-                "event=joined peer={from} zone={} incarnation={} phase={:?}",
-                beat.zone, beat.incarnation, beat.phase
-            );
-            // It need not wait for the next interval to learn of this entry.
-            let beat = Datagram::Beat((self.shared.statement)());
-            self.send(&beat, &[from]).await;
+    async fn take(&self, from: IpAddr, datagram: Datagram) -> Event {
+        let now = Instant::now();
+        self.roster().note_word(now);
+        match datagram {
+            Datagram::Beat(beat) => {
+                let changed = self.roster().hear(from, Peer::from((&beat, now)), now);
+                if changed {
+                    log::info!(
+                        target: "peers",
+                        "event=changed peer={from} zone={} phase={:?} started={}",
+                        beat.zone, beat.phase, beat.started
+                    );
+                    if self.is_hub() {
+                        self.send_digest(true).await;
+                    }
+                    // A new entry learns of this one at once.
+                    let own = Datagram::Beat(self.statement());
+                    self.send(&own, &[from]).await;
+                }
+                Event::News(from, beat.news)
+            }
+            Datagram::Digest(digest) => {
+                let own = self.own();
+                let mut roster = self.roster();
+                for member in digest.members {
+                    if member.address != own {
+                        roster.learn(member, now);
+                    }
+                }
+                Event::News(from, digest.news)
+            }
+            Datagram::Rows(rows) => Event::Rows(rows),
         }
     }
 }
 
-fn is_last(part: &[Row], rows: &[Row]) -> bool {
-    part.as_ptr_range().end == rows.as_ptr_range().end
+fn member(address: IpAddr, peer: &Peer, now: Instant) -> Member {
+    let age = now.saturating_duration_since(peer.heard).as_millis();
+    Member {
+        address,
+        started: peer.stamp.0,
+        sequence: peer.stamp.1,
+        zone: peer.zone.clone(),
+        phase: peer.phase,
+        capacity: peer.capacity,
+        rate: peer.rate,
+        store: peer.store,
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+    }
 }
 
 async fn serve(listener: TcpListener, server: Arc<Server>) {
@@ -244,7 +393,7 @@
             }
             Err(error) => {
                 log::warn!(target: "peers", "event=accept-failed error=\"{error}\"");
-                tokio::time::sleep(LOCAL_INTERVAL).await;
+                tokio::time::sleep(INTERVAL).await;
             }
         }
     }
--- a/crates/peers/src/roster.rs
+++ b/crates/peers/src/roster.rs
@@ -1,26 +1,40 @@
 //! Entries that are known.
 
-use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::collections::{BTreeMap, HashMap};
+use std::net::IpAddr;
 use std::time::Duration;
 
+use carobdrift_units::Zone;
 use tokio::time::Instant;
 
-use crate::datagram::{Beat, Phase};
+use crate::datagram::{Beat, Member, Phase, StoreLink};
 
-/// Time without a beat after which an entry counts as gone. It covers two lost
-/// beats between zones.
-pub(crate) const LIFETIME: Duration = Duration::from_millis(2400);
+/// Hubs of each zone. Two, so that the loss of one leaves no gap.
+pub(crate) const HUBS: usize = 2;
+
+/// Time without a word after which an entry counts as gone. It covers two lost
+/// datagrams on the way through a hub.
+const LIFETIME: Duration = Duration::from_millis(2000);
 
 /// Time after which an entry that is gone is not contacted any more.
 const FORGOTTEN: Duration = Duration::from_mins(2);
 
 /// Another entry.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
-    /// What it stated last.
-    pub beat: Beat,
-    /// When it did.
+    /// Start of the process and number of the last statement.
+    pub(crate) stamp: (u64, u32),
+    /// Availability zone.
+    pub zone: Zone,
+    /// Whether it takes callers.
+    pub phase: Phase,
+    /// Processor that it has, in thousandths of a core.
+    pub capacity: u32,
+    /// Requests that it served in the last second.
+    pub rate: u32,
+    /// How it stands to the platform's store.
+    pub store: StoreLink,
+    /// When it was last heard of, directly or through a hub.
     pub heard: Instant,
 }
 
@@ -28,9 +42,11 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     peers: HashMap<IpAddr, Peer>,
-    /// Entries that were named by others and have not been heard of, with the
-    /// moment at which they were named.
+    /// Entries that were named and have not been heard of, with the moment at
+    /// which they were named.
     named: HashMap<IpAddr, Instant>,
+    /// When an entry was last heard of directly.
+    word: Option<Instant>,
 }
 
 impl Peer {
@@ -39,12 +55,19 @@
     pub fn is_alive(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.heard) <= LIFETIME
     }
+}
 
-    /// Age of its last good answer of the store.
-    #[must_use]
-    pub fn store_age(&self, now: Instant) -> Duration {
-        let stated = Duration::from_millis(u64::from(self.beat.store_age_ms));
-        stated + now.saturating_duration_since(self.heard)
+impl From<(&Beat, Instant)> for Peer {
+    fn from((beat, heard): (&Beat, Instant)) -> Self {
+        Self {
+            stamp: (beat.started, beat.sequence),
+            zone: beat.zone.clone(),
+            phase: beat.phase,
+            capacity: beat.capacity,
+            rate: beat.rate,
+            store: beat.store,
+            heard,
+        }
     }
 }
 
@@ -56,21 +79,65 @@
         }
     }
 
-    /// Takes in a beat; returns whether the entry is new, or another process.
-    pub(crate) fn hear(&mut self, address: IpAddr, beat: Beat, now: Instant) -> bool {
+    /// Takes in a statement of an entry; returns whether the entry is new, is
+    /// another process, or changed its phase.
+    pub(crate) fn hear(&mut self, address: IpAddr, peer: Peer, now: Instant) -> bool {
         self.named.remove(&address);
-        let known = self.peers.get(&address);
-        let new = known.is_none_or(|peer| {
-            peer.beat.incarnation != beat.incarnation || !peer.is_alive(now)
-        });
-        self.peers.insert(address, Peer { beat, heard: now });
-        new
+        let Some(known) = self.peers.get_mut(&address) else {
+            self.peers.insert(address, peer);
+            return true;
+        };
+        // Without a living process there is nothing that a wrong clock could
+        // put into a wrong order.
+        let newer = peer.stamp > known.stamp || !known.is_alive(now);
+        let heard = known.heard.max(peer.heard);
+        if !newer {
+            known.heard = if peer.stamp == known.stamp {
+                heard
+            } else {
+                known.heard
+            };
+            return false;
+        }
+        let changed =
+            known.stamp.0 != peer.stamp.0 || known.phase != peer.phase || !known.is_alive(now);
+        *known = Peer { heard, ..peer };
+        changed
+    }
+
+    /// Takes in an entry of a digest.
+    pub(crate) fn learn(&mut self, member: Member, now: Instant) -> bool {
+        let age = Duration::from_millis(u64::from(member.age_ms));
+        let Some(heard) = now.checked_sub(age) else {
+            return false;
+        };
+        let peer = Peer {
+            stamp: (member.started, member.sequence),
+            zone: member.zone,
+            phase: member.phase,
+            capacity: member.capacity,
+            rate: member.rate,
+            store: member.store,
+            heard,
+        };
+        self.hear(member.address, peer, now)
     }
 
-    /// Entries to which beats go.
-    pub(crate) fn contacts(&self) -> impl Iterator<Item = (IpAddr, Option<&Peer>)> {
-        let heard = self.peers.iter().map(|(address, peer)| (*address, Some(peer)));
-        heard.chain(self.named.keys().map(|address| (*address, None)))
+    /// Notes that an entry was heard of directly.
+    pub(crate) fn note_word(&mut self, now: Instant) {
+        self.word = Some(now);
+    }
+
+    /// Time since any entry was heard of directly.
+    #[must_use]
+    pub fn silence(&self, now: Instant) -> Duration {
+        self.word
+            .map_or(Duration::MAX, |word| now.saturating_duration_since(word))
+    }
+
+    /// Entries that were named and have not been heard of.
+    pub(crate) fn named(&self) -> impl Iterator<Item = IpAddr> {
+        self.named.keys().copied()
     }
 
     /// Forgets entries that have been gone for long.
@@ -86,10 +153,21 @@
         peers.filter(move |(_, peer)| peer.is_alive(now))
     }
 
-    /// Entries that take callers: zone and address.
-    pub fn ready(&self, now: Instant) -> impl Iterator<Item = (&carobdrift_units::Zone, SocketAddr)> {
-        self.alive(now)
-            .filter(|(_, peer)| peer.beat.phase == Phase::Ready)
-            .map(|(_, peer)| (&peer.beat.zone, peer.beat.caller))
+    /// Hubs of each zone, given this entry's own address and zone. Leaving
+    /// entries are no hubs.
+    #[must_use]
+    pub fn hubs(&self, own: IpAddr, zone: &Zone, now: Instant) -> BTreeMap<Zone, Vec<IpAddr>> {
+        let mut hubs: BTreeMap<Zone, Vec<IpAddr>> = BTreeMap::new();
+        hubs.entry(zone.clone()).or_default().push(own);
+        for (address, peer) in self.alive(now) {
+            if peer.phase != Phase::Leaving {
+                hubs.entry(peer.zone.clone()).or_default().push(address);
+            }
+        }
+        for addresses in hubs.values_mut() {
+            addresses.sort_unstable();
+            addresses.truncate(HUBS);
+        }
+        hubs
     }
 }
--- a/crates/placement/src/node.rs
+++ b/crates/placement/src/node.rs
@@ -32,6 +32,9 @@
 /// request counts as stuck.
 const STUCK_FACTOR: f64 = 4.0;
 
+/// Time for which no second probe is sent while the first one is unanswered.
+const PROBE_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Unanswered probes that count in the cost of a target.
 const MAX_UNANSWERED: u32 = 4;
 
@@ -71,6 +74,8 @@
     pub(crate) endpoint: Endpoint,
     pub(crate) local: bool,
     stated: Option<Stated>,
+    /// When the last probe was sent.
+    asked: Option<Instant>,
     /// Probes that were left unanswered since the last report.
     unanswered: u32,
     in_flight: Vec<Flight>,
@@ -92,6 +97,7 @@
             endpoint,
             local,
             stated: None,
+            asked: None,
             unanswered: 0,
             in_flight: Vec::new(),
             health: Health::default(),
@@ -126,6 +132,18 @@
         Some(now.saturating_duration_since(flight.since))
     }
 
+    pub(crate) fn asked(&mut self, now: Instant) {
+        self.asked = Some(now);
+    }
+
+    /// Whether the answer to a probe is due; other requests wait for it too.
+    pub(crate) fn is_asked(&self, now: Instant) -> bool {
+        let answered = self.stated.map(|stated| stated.at);
+        self.asked.is_some_and(|at| {
+            answered < Some(at) && now.saturating_duration_since(at) < PROBE_INTERVAL
+        })
+    }
+
     pub(crate) fn unanswered(&mut self) {
         self.unanswered = self.unanswered.saturating_add(1);
     }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -125,8 +125,19 @@
     }
 
     /// Chooses a target.
-    #[must_use]
-    pub fn choose(&self, demand: Demand<'_>, now: Instant) -> Choice {
+    pub fn choose(&mut self, demand: Demand<'_>, now: Instant) -> Choice {
+        let choice = self.decide(demand, now);
+        if let Choice::Probe(targets) = &choice {
+            for target in targets {
+                if let Some(node) = self.nodes.get_mut(&target.id) {
+                    node.asked(now);
+                }
+            }
+        }
+        choice
+    }
+
+    fn decide(&self, demand: Demand<'_>, now: Instant) -> Choice {
         let mut ranked = self.rank(demand, now);
         let Some(&(_, best)) = ranked.first() else {
             return Choice::NoTarget;
@@ -139,7 +150,10 @@
         }
         ranked.retain(|(_, node)| {
             let stale = node.age(now).is_none_or(|age| age > FRESH);
-            stale && !demand.probed.contains(&node.endpoint.id) && node.has_room(now)
+            stale
+                && !demand.probed.contains(&node.endpoint.id)
+                && !node.is_asked(now)
+                && node.has_room(now)
         });
         if ranked.is_empty() {
             return Choice::Wait;
