--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -61,6 +61,11 @@
                 );
             }
             Probed::Silent | Probed::TimedOut => {
+                log::debug!(
+                    target: "target",
+                    "event=unanswered target={} result={}",
+                    endpoint.id, probed.as_str()
+                );
                 self.services.with_pool(&endpoint.service, |pool, _| {
                     pool.unanswered(&endpoint.id);
                 });
--- a/crates/placement/src/node.rs
+++ b/crates/placement/src/node.rs
@@ -127,6 +127,8 @@
             Outcome::Success => self.health.succeed(now),
             Outcome::Failure => self.health.fail(now),
             Outcome::Cancelled if flight.is_stuck(now) => self.health.fail(now),
+            // A target that refuses although it states a free slot is failing.
+            Outcome::Refused if self.states_room() => self.health.fail(now),
             Outcome::Cancelled | Outcome::Refused => {}
         }
         Some(now.saturating_duration_since(flight.since))
@@ -189,6 +191,11 @@
         own + total.saturating_sub(stated.own)
     }
 
+    fn states_room(&self) -> bool {
+        self.stated
+            .is_some_and(|stated| stated.load.running < stated.load.slots)
+    }
+
     pub(crate) fn slots(&self) -> u32 {
         let stated = self.stated.map(|stated| stated.load.slots);
         stated.unwrap_or(self.endpoint.slots).max(1)
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -13,13 +13,13 @@
 /// Age up to which a report decides without a probe. The speed of a target
 /// changes about every 150 ms, so a report of this age is right nine times out
 /// of ten.
-const FRESH: Duration = Duration::from_millis(12);
+const FRESH: Duration = Duration::from_millis(25);
 
 /// Slowdown up to which a target counts as fast.
 const FAST: f64 = 1.6;
 
 /// Targets that are probed at a time for one request.
-const PROBES: usize = 3;
+const PROBES: usize = 2;
 
 /// Weight of a new report in the mean slowdown.
 const MEAN_GAIN: f64 = 0.01;
@@ -31,6 +31,14 @@
 /// of a request: the way there, and the bytes between zones.
 const REMOTE_COST: f64 = 0.2;
 
+/// Cost of a target that was not heard of lately, as a part of the usual time of
+/// a request: a connection would have to be opened. Each entry thus stays with
+/// the targets that it knows while these are enough.
+const UNKNOWN_COST: f64 = 0.5;
+
+/// Age from which a report does not show that a connection is open.
+const FORGOTTEN: Duration = Duration::from_secs(8);
+
 /// A request that needs a target.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand<'a> {
@@ -242,7 +250,12 @@
             let remote = if node.local { 0.0 } else { REMOTE_COST };
             // Targets of equal cost are used in turn.
             let noise: f64 = random.random_range(0.0..0.05);
-            let mut cost = node.cost(self.mean, now) + remote + noise;
+            let unknown = if node.age(now).is_none_or(|age| age > FORGOTTEN) {
+                UNKNOWN_COST
+            } else {
+                0.0
+            };
+            let mut cost = node.cost(self.mean, now) + remote + unknown + noise;
             if node.is_on_trial() && !demand.repeatable {
                 cost *= 4.0;
             }
