Queue at a fast target before a free slow one, and refuse what would be late

Requests wait in one line a service at the entry once no target would answer in time; those that can meet their aim come first, and a request whose expected wait is too long is refused at once.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_placement::{Choice, Demand, Endpoint, Outcome};
-use carobdrift_units::Target;
-use tokio::sync::mpsc;
+use carobdrift_placement::{Choice, Demand, Endpoint, Outcome, Rank, Work};
+use carobdrift_units::{Service, Target};
+use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
 use crate::call::Call;
@@ -19,6 +19,10 @@
 /// Time between two looks at the targets while a request is held.
 const LOOK_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Work takes up to this much longer than its mean; time for it must be left
+/// when a request leaves the line.
+const WORK_MARGIN: f64 = 1.3;
+
 /// The right to send one attempt to a target. Dropping it states that the
 /// attempt was cancelled.
 #[derive(Debug)]
@@ -49,37 +53,101 @@
     }
 }
 
+/// A request in the line of its service; dropping it leaves the line.
+struct Waiting {
+    gateway: Arc<Gateway>,
+    service: Service,
+    rank: Rank,
+    woken: Arc<Notify>,
+    joined: bool,
+}
+
+impl Waiting {
+    fn new(gateway: &Arc<Gateway>, call: &Call) -> Self {
+        let rank = Rank {
+            late: false,
+            priority: call.route.priority,
+            received: call.received,
+            number: gateway.services.next_number(&call.service),
+        };
+        Self {
+            gateway: Arc::clone(gateway),
+            service: call.service.clone(),
+            rank,
+            woken: Arc::default(),
+            joined: false,
+        }
+    }
+
+    fn is_first(&self) -> bool {
+        self.gateway.services.is_first(&self.service, &self.rank)
+    }
+
+    fn join(&mut self) {
+        if !self.joined {
+            let services = &self.gateway.services;
+            services.join(&self.service, self.rank, Arc::clone(&self.woken));
+            self.joined = true;
+        }
+    }
+
+    fn leave(&mut self, departs: bool) {
+        if std::mem::take(&mut self.joined) {
+            let services = &self.gateway.services;
+            services.leave(&self.service, &self.rank, departs);
+        }
+    }
+
+    /// Lets requests come first that can still be answered in time.
+    fn step_back(&mut self) {
+        if !self.rank.late {
+            let joined = self.joined;
+            self.leave(false);
+            self.rank.late = true;
+            if joined {
+                self.join();
+            }
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.leave(false);
+    }
+}
+
 impl Gateway {
     /// Places a request on a target that it was not sent to before. Waits while
-    /// a better target is likely to be found in time.
+    /// a better target is likely to be found in time, and in line while no
+    /// target has room.
     pub(crate) async fn place(
         self: &Arc<Self>,
         call: &Arc<Call>,
         tried: &[Target],
     ) -> Result<Placement, Refusal> {
         let work = self.services.work(&call.route);
+        let margin = work.mean().mul_f64(WORK_MARGIN);
         let held_until = call.received + call.route.target_latency.mul_f64(HOLD_PART);
+        // From here on the answer would be late.
+        let aim_until = call.aim().checked_sub(margin).unwrap_or(call.received);
+        // From here on there would be none.
+        let last = call.give_up.checked_sub(margin).unwrap_or(call.received);
+        let refuse_at = last.min(call.aim()).max(held_until);
+        let mut waiting = Waiting::new(self, call);
         let mut probed = Vec::new();
         // Probes would only add to the load of this machine.
         let mut urgent = self.is_overloaded();
         loop {
-            let demand = Demand {
-                tried,
-                probed: &probed,
-                repeatable: call.is_repeatable(),
-                urgent,
+            let chosen = if waiting.is_first() {
+                self.choose(call, tried, &probed, urgent, &work)
+            } else {
+                Some((Choice::Full, 0))
             };
-            let chosen = self.services.with_pool(&call.service, |pool, now| {
-                let choice = pool.choose(demand, now);
-                let attempt = match &choice {
-                    Choice::Send(endpoint) => pool.begin(&endpoint.id, work.mean(), now),
-                    _ => 0,
-                };
-                (choice, attempt)
-            });
             match chosen {
                 None | Some((Choice::NoTarget, _)) => return Err(Refusal::NoTarget),
                 Some((Choice::Send(endpoint), attempt)) => {
+                    waiting.leave(true);
                     return Ok(Placement {
                         gateway: Arc::clone(self),
                         call: Arc::clone(call),
@@ -92,25 +160,69 @@
                     probed.extend(targets.iter().map(|target| target.id.clone()));
                     self.probe_any(call, targets).await;
                 }
-                Some((Choice::Wait, _)) => {
+                Some((Choice::Slow, _)) => {
+                    // Others need not wait for a better target than they need.
+                    waiting.leave(false);
                     let now = Instant::now();
-                    if now >= call.give_up {
+                    urgent |= now >= held_until;
+                    if !urgent {
+                        let look = (now + LOOK_INTERVAL).min(held_until);
+                        tokio::time::sleep_until(look).await;
+                        probed.clear();
+                    }
+                }
+                Some((Choice::Full, _)) => {
+                    let now = Instant::now();
+                    if now >= refuse_at {
                         return Err(Refusal::Busy);
                     }
-                    if now >= held_until {
-                        urgent = true;
-                        continue;
+                    if now >= aim_until {
+                        waiting.step_back();
+                    }
+                    if !waiting.joined {
+                        let wait = self.services.expected_wait(&call.service, &waiting.rank);
+                        if now + wait > refuse_at {
+                            return Err(Refusal::Busy);
+                        }
+                        waiting.join();
                     }
-                    let look = (now + LOOK_INTERVAL).min(held_until);
+                    urgent |= now >= held_until;
                     tokio::select! {
-                        () = self.services.freed() => {}
-                        () = tokio::time::sleep_until(look) => probed.clear(),
+                        () = waiting.woken.notified() => {}
+                        () = tokio::time::sleep_until((now + LOOK_INTERVAL).min(refuse_at)) => {
+                            probed.clear();
+                        }
                     }
                 }
             }
         }
     }
 
+    fn choose(
+        &self,
+        call: &Call,
+        tried: &[Target],
+        probed: &[Target],
+        urgent: bool,
+        work: &Work,
+    ) -> Option<(Choice, u64)> {
+        let demand = Demand {
+            tried,
+            probed,
+            repeatable: call.is_repeatable(),
+            urgent,
+            max_cost: call.left().div_duration_f64(work.mean()),
+        };
+        self.services.with_pool(&call.service, |pool, now| {
+            let choice = pool.choose(demand, now);
+            let attempt = match &choice {
+                Choice::Send(endpoint) => pool.begin(&endpoint.id, work.mean(), now),
+                _ => 0,
+            };
+            (choice, attempt)
+        })
+    }
+
     /// Probes targets until one of them is good for the request. The others
     /// finish in the background; their reports serve the next requests.
     async fn probe_any(self: &Arc<Self>, call: &Arc<Call>, targets: Vec<Endpoint>) {
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -1,10 +1,10 @@
 //! What the entry knows of each service and route.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use carobdrift_placement::{Budget, Endpoint, Load, Outcome, Pool, Work};
+use carobdrift_placement::{Budget, Endpoint, Line, Load, Outcome, Pool, Rank, Work};
 use carobdrift_routing::{Route, Splits};
 use carobdrift_units::{Service, Target, Zone};
 use tokio::sync::Notify;
@@ -34,13 +34,13 @@
     zone: Zone,
     repeats: Repeats,
     state: Mutex<State>,
-    /// Wakes requests that wait for a slot.
-    freed: Notify,
 }
 
 #[derive(Debug, Default)]
 struct State {
     pools: HashMap<Service, Pool>,
+    /// Requests that wait for a slot.
+    lines: HashMap<Service, Line<Arc<Notify>>>,
     budgets: HashMap<Service, Budget>,
     splits: Splits,
     works: HashMap<String, Work>,
@@ -49,13 +49,25 @@
     entries: usize,
 }
 
+impl State {
+    fn line(&mut self, service: &Service) -> &mut Line<Arc<Notify>> {
+        self.lines.entry(service.clone()).or_default()
+    }
+
+    /// Wakes the request that is next.
+    fn wake(&mut self, service: &Service) {
+        if let Some(first) = self.lines.get(service).and_then(Line::first) {
+            first.notify_one();
+        }
+    }
+}
+
 impl Services {
     pub(crate) fn new(zone: Zone, repeats: Repeats) -> Self {
         Self {
             zone,
             repeats,
             state: Mutex::default(),
-            freed: Notify::new(),
         }
     }
 
@@ -76,9 +88,9 @@
             .pools
             .entry(endpoint.service.clone())
             .or_insert_with(|| Pool::new(self.zone.clone()));
+        let service = endpoint.service.clone();
         pool.put(endpoint, now);
-        drop(state);
-        self.freed.notify_waiters();
+        state.wake(&service);
     }
 
     pub(crate) fn remove(&self, target: &Target) {
@@ -142,7 +154,7 @@
         self.with_pool(&endpoint.service, |pool, now| {
             pool.report(&endpoint.id, load, now);
         });
-        self.freed.notify_waiters();
+        self.lock().wake(&endpoint.service);
     }
 
     /// Ends an attempt and learns from its time.
@@ -161,12 +173,36 @@
                 .or_insert_with(|| Work::new(route.target_latency));
             work.observe(elapsed, slowdown);
         }
-        self.freed.notify_waiters();
+        self.lock().wake(&endpoint.service);
+    }
+
+    /// A number for the rank of a new request.
+    pub(crate) fn next_number(&self, service: &Service) -> u64 {
+        self.lock().line(service).next_number()
+    }
+
+    /// Whether a request may take a slot now, or others come first.
+    pub(crate) fn is_first(&self, service: &Service, rank: &Rank) -> bool {
+        self.lock().line(service).is_first(rank)
+    }
+
+    /// Lets a request wait; it is woken when a slot may be free for it.
+    pub(crate) fn join(&self, service: &Service, rank: Rank, waiter: Arc<Notify>) {
+        self.lock().line(service).join(rank, waiter);
+    }
+
+    /// Ends the wait of a request, and wakes the next one.
+    pub(crate) fn leave(&self, service: &Service, rank: &Rank, departs: bool) {
+        let mut state = self.lock();
+        let now = departs.then(Instant::now);
+        if state.line(service).leave(rank, now).is_some() {
+            state.wake(service);
+        }
     }
 
-    /// Waits until a slot may have become free.
-    pub(crate) fn freed(&self) -> tokio::sync::futures::Notified<'_> {
-        self.freed.notified()
+    /// Time that a request of this rank would wait.
+    pub(crate) fn expected_wait(&self, service: &Service, rank: &Rank) -> Duration {
+        self.lock().line(service).expected_wait(rank)
     }
 
     fn with_budget<T>(
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod budget;
 mod health;
+mod line;
 mod node;
 mod pool;
 mod report;
 mod work;
 
 pub use budget::Budget;
+pub use line::{Line, Rank};
 pub use node::{Endpoint, Lifecycle};
 pub use pool::{Choice, Demand, Pool};
 pub use report::{Load, Outcome};
--- a/crates/placement/src/node.rs
+++ b/crates/placement/src/node.rs
@@ -13,8 +13,6 @@
 /// Mean time for which the speed of a target stays as it is.
 const SPEED_LIFETIME: Duration = Duration::from_millis(150);
 
-/// Age from which a report says nothing of the requests of others.
-const REPORT_LIFETIME: Duration = Duration::from_millis(400);
 
 /// Work takes this much longer on a target that was just started.
 const COLD_FACTOR: f64 = 2.0;
@@ -35,6 +33,10 @@
 /// Time for which no second probe is sent while the first one is unanswered.
 const PROBE_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Doublings of that time after probes that were left unanswered. A saturated
+/// target accepts no connections, and each probe would open another one.
+const PROBE_DOUBLINGS: u32 = 6;
+
 /// Unanswered probes that count in the cost of a target.
 const MAX_UNANSWERED: u32 = 4;
 
@@ -47,6 +49,15 @@
     Draining,
 }
 
+/// What is usual for the targets of a service.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Usual {
+    /// Slowdown, as a multiple of the time that work takes at full speed.
+    pub(crate) slowdown: f64,
+    /// Time for which a request goes on.
+    pub(crate) time: Duration,
+}
+
 /// A target as it was registered.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -142,7 +153,8 @@
     pub(crate) fn is_asked(&self, now: Instant) -> bool {
         let answered = self.stated.map(|stated| stated.at);
         self.asked.is_some_and(|at| {
-            answered < Some(at) && now.saturating_duration_since(at) < PROBE_INTERVAL
+            let pause = PROBE_INTERVAL * 2_u32.pow(self.unanswered.min(PROBE_DOUBLINGS));
+            answered < Some(at) && now.saturating_duration_since(at) < pause
         })
     }
 
@@ -179,16 +191,17 @@
     }
 
     /// Requests that the target has, those of others included.
-    pub(crate) fn occupancy(&self, now: Instant) -> u32 {
+    pub(crate) fn occupancy(&self, usual: Usual, now: Instant) -> u32 {
         let own = count(self.in_flight.len());
         let Some(stated) = self.stated else {
             return own;
         };
-        if now.saturating_duration_since(stated.at) > REPORT_LIFETIME {
-            return own;
-        }
+        let age = now.saturating_duration_since(stated.at);
         let total = stated.load.running + stated.load.waiting;
-        own + total.saturating_sub(stated.own)
+        let others = f64::from(total.saturating_sub(stated.own));
+        // Requests of others end unseen.
+        let left = others * (-age.div_duration_f64(usual.time)).exp();
+        own + round(left)
     }
 
     fn states_room(&self) -> bool {
@@ -201,13 +214,14 @@
         stated.unwrap_or(self.endpoint.slots).max(1)
     }
 
-    pub(crate) fn has_room(&self, now: Instant) -> bool {
-        self.occupancy(now) < self.slots()
+    pub(crate) fn has_room(&self, usual: Usual, now: Instant) -> bool {
+        self.occupancy(usual, now) < self.slots()
     }
 
     /// Slowdown expected now, given the mean over all targets: the last report
     /// loses its meaning as the speed is likely to have changed since.
-    pub(crate) fn slowdown(&self, mean: f64, now: Instant) -> f64 {
+    pub(crate) fn slowdown(&self, usual: Usual, now: Instant) -> f64 {
+        let mean = usual.slowdown;
         let Some(stated) = self.stated else {
             return mean;
         };
@@ -222,10 +236,10 @@
     }
 
     /// Time that a request would take here, as a multiple of the usual one.
-    pub(crate) fn cost(&self, mean: f64, now: Instant) -> f64 {
-        let occupancy = self.occupancy(now);
+    pub(crate) fn cost(&self, usual: Usual, now: Instant) -> f64 {
+        let occupancy = self.occupancy(usual, now);
         let slots = self.slots();
-        let mut cost = self.slowdown(mean, now);
+        let mut cost = self.slowdown(usual, now);
         if now < self.cold_until {
             cost *= COLD_FACTOR;
         }
@@ -249,6 +263,15 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the number is a small count"
+)]
+fn round(number: f64) -> u32 {
+    number.round() as u32
+}
+
 fn count(length: usize) -> u32 {
     u32::try_from(length).unwrap_or(u32::MAX)
 }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use crate::node::{Endpoint, Lifecycle, Node};
+use crate::node::{Endpoint, Lifecycle, Node, Usual};
 use crate::report::{Load, Outcome};
 
 /// Age up to which a report decides without a probe. The speed of a target
@@ -21,12 +21,21 @@
 /// Targets that are probed at a time for one request.
 const PROBES: usize = 2;
 
+/// Targets that are weighed against each other in full order.
+const RANKED: usize = 16;
+
 /// Weight of a new report in the mean slowdown.
 const MEAN_GAIN: f64 = 0.01;
 
+/// Weight of a new request in the usual time.
+const TIME_GAIN: f64 = 0.02;
+
 /// Mean slowdown before the first report.
 const FIRST_MEAN: f64 = 2.0;
 
+/// Usual time of a request before the first one.
+const FIRST_TIME: Duration = Duration::from_millis(150);
+
 /// Cost of a target in another availability zone, as a part of the usual time
 /// of a request: the way there, and the bytes between zones.
 const REMOTE_COST: f64 = 0.2;
@@ -48,8 +57,11 @@
     pub probed: &'a [Target],
     /// Whether it may run more than once.
     pub repeatable: bool,
-    /// Whether it must go out now, to the best target there is.
+    /// Whether it goes to the best target there is, without further probes.
     pub urgent: bool,
+    /// Largest cost of a target, as a multiple of the usual time of the
+    /// request, at which its answer is still of use.
+    pub max_cost: f64,
 }
 
 /// What to do with a request.
@@ -59,8 +71,10 @@
     Send(Endpoint),
     /// Probe these targets and ask again.
     Probe(Vec<Endpoint>),
-    /// All targets are busy or slow; ask again soon.
-    Wait,
+    /// All targets with a free slot are slow; ask again soon.
+    Slow,
+    /// No target would answer in time.
+    Full,
     /// No target takes requests.
     NoTarget,
 }
@@ -70,7 +84,7 @@
 pub struct Pool {
     zone: Zone,
     nodes: HashMap<Target, Node>,
-    mean: f64,
+    usual: Usual,
     attempts: u64,
 }
 
@@ -81,7 +95,10 @@
         Self {
             zone,
             nodes: HashMap::new(),
-            mean: FIRST_MEAN,
+            usual: Usual {
+                slowdown: FIRST_MEAN,
+                time: FIRST_TIME,
+            },
             attempts: 0,
         }
     }
@@ -150,21 +167,26 @@
         let Some(&(_, best)) = ranked.first() else {
             return Choice::NoTarget;
         };
-        if demand.urgent {
-            return Choice::Send(best.endpoint.clone());
-        }
         if self.is_good(best, now) {
             return Choice::Send(best.endpoint.clone());
         }
+        if demand.urgent {
+            let (cost, best) = &ranked[0];
+            return if *cost <= demand.max_cost {
+                Choice::Send(best.endpoint.clone())
+            } else {
+                Choice::Full
+            };
+        }
         ranked.retain(|(_, node)| {
             let stale = node.age(now).is_none_or(|age| age > FRESH);
             stale
                 && !demand.probed.contains(&node.endpoint.id)
                 && !node.is_asked(now)
-                && node.has_room(now)
+                && node.has_room(self.usual, now)
         });
         if ranked.is_empty() {
-            return Choice::Wait;
+            return Choice::Slow;
         }
         let probes = ranked.iter().take(PROBES);
         Choice::Probe(probes.map(|(_, node)| node.endpoint.clone()).collect())
@@ -174,9 +196,11 @@
     /// speed. Returns its number.
     pub fn begin(&mut self, target: &Target, work: Duration, now: Instant) -> u64 {
         self.attempts += 1;
-        let mean = self.mean;
+        let usual = self.usual;
+        let time = work.mul_f64(usual.slowdown);
+        self.usual.time = usual.time.mul_f64(1.0 - TIME_GAIN) + time.mul_f64(TIME_GAIN);
         if let Some(node) = self.nodes.get_mut(target) {
-            let slowdown = node.slowdown(mean, now).max(1.0);
+            let slowdown = node.slowdown(usual, now).max(1.0);
             node.begin(self.attempts, work.mul_f64(slowdown), now);
         }
         self.attempts
@@ -199,7 +223,7 @@
             return;
         };
         node.report(load, now);
-        self.mean += MEAN_GAIN * (load.slowdown - self.mean);
+        self.usual.slowdown += MEAN_GAIN * (load.slowdown - self.usual.slowdown);
     }
 
     /// Whether a request could be sent at once.
@@ -232,7 +256,7 @@
     /// Whether a target is known to be fast and to have a free slot.
     fn is_good(&self, node: &Node, now: Instant) -> bool {
         let fresh = node.age(now).is_some_and(|age| age <= FRESH);
-        fresh && node.has_room(now) && node.slowdown(self.mean, now) <= FAST
+        fresh && node.has_room(self.usual, now) && node.slowdown(self.usual, now) <= FAST
     }
 
     /// Usable targets, cheapest first. Resting targets are used when there are
@@ -255,7 +279,7 @@
             } else {
                 0.0
             };
-            let mut cost = node.cost(self.mean, now) + remote + unknown + noise;
+            let mut cost = node.cost(self.usual, now) + remote + unknown + noise;
             if node.is_on_trial() && !demand.repeatable {
                 cost *= 4.0;
             }
@@ -268,6 +292,11 @@
         if ranked.is_empty() {
             ranked = resting;
         }
+        // Only the first few are looked at.
+        if ranked.len() > RANKED {
+            ranked.select_nth_unstable_by(RANKED, |a, b| a.0.total_cmp(&b.0));
+            ranked.truncate(RANKED);
+        }
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
         ranked
     }
