--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -46,10 +46,7 @@
     pub(crate) async fn relay(self: Arc<Self>, request: Request) -> Response {
         self.count_request();
         let received = request.received;
-        let id = self
-            .dialect
-            .attempt_id(&request.headers)
-            .map(str::to_owned);
+        let id = self.dialect.attempt_id(&request.headers).map(str::to_owned);
         let call = match self.route(request, id.clone()) {
             Ok(call) => Arc::new(call),
             Err(refusal) => {
@@ -104,7 +101,10 @@
 
     fn route(&self, request: Request, id: Option<String>) -> Result<Call, Refusal> {
         let table = self.table().ok_or(Refusal::Unready)?;
-        let host = request.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let host = request
+            .headers
+            .get(HOST)
+            .and_then(|host| host.to_str().ok());
         let route = host
             .and_then(|host| table.find(host_name(host), request.path()))
             .ok_or(Refusal::NoRoute)?;
@@ -137,7 +137,8 @@
                 match self.place(call, &attempts.tried).await {
                     Ok(placed) => {
                         if call.is_repeatable() && attempts.sends == 0 {
-                            hedge_at = Some(Instant::now() + self.services.work(&call.route).high());
+                            hedge_at =
+                                Some(Instant::now() + self.services.work(&call.route).high());
                         }
                         attempts.start(self, call, placed);
                     }
@@ -179,8 +180,9 @@
         self.tried.push(placed.endpoint.id.clone());
         let gateway = Arc::clone(gateway);
         let call = Arc::clone(call);
-        self.running
-            .push(Box::pin(async move { gateway.attempt(&call, placed).await }));
+        self.running.push(Box::pin(
+            async move { gateway.attempt(&call, placed).await },
+        ));
     }
 
     /// Whether the route and the caller's time allow one more target.
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -126,7 +126,7 @@
 
     /// Counts a request towards the budget of repeats.
     pub(crate) fn count_request(&self, service: &Service) {
-        self.with_budget(service, |budget, now| budget.request(now));
+        self.with_budget(service, Budget::request);
     }
 
     /// Spends a repeat if the budget has one.
@@ -141,7 +141,10 @@
         read: impl FnOnce(&mut Pool, Instant) -> T,
     ) -> Option<T> {
         let now = Instant::now();
-        self.lock().pools.get_mut(service).map(|pool| read(pool, now))
+        self.lock()
+            .pools
+            .get_mut(service)
+            .map(|pool| read(pool, now))
     }
 
     pub(crate) fn work(&self, route: &Route) -> Work {
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -143,10 +143,8 @@
                 response = &mut read => response.map(|response| (response, false)),
             }
         };
-        let (response, sent_whole) = result.map_err(|cause| ExchangeError {
-            sent: *sent,
-            cause,
-        })?;
+        let (response, sent_whole) =
+            result.map_err(|cause| ExchangeError { sent: *sent, cause })?;
         self.used = Instant::now();
         self.expiry = response.idle_timeout.map(|timeout| self.used + timeout);
         self.reusable = sent_whole && response.keep_alive;
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -48,9 +48,7 @@
     /// Query without the question mark; empty when there is none.
     #[must_use]
     pub fn query(&self) -> &str {
-        self.target
-            .split_once('?')
-            .map_or("", |(_, query)| query)
+        self.target.split_once('?').map_or("", |(_, query)| query)
     }
 }
 
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -107,7 +107,11 @@
             }
             if self.fill().await? == 0 {
                 let within = self.is_within_message();
-                return if within { Err(ReadError::Truncated) } else { Ok(None) };
+                return if within {
+                    Err(ReadError::Truncated)
+                } else {
+                    Ok(None)
+                };
             }
         }
     }
--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the message framing.
 
 mod client;
+mod fixture;
 mod server;
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -86,7 +86,9 @@
         if !registered && peers.is_hub() {
             match shared.store.register().await {
                 Ok(()) => registered = true,
-                Err(error) => log::warn!(target: "store", "event=register-failed error=\"{error}\""),
+                Err(error) => {
+                    log::warn!(target: "store", "event=register-failed error=\"{error}\"");
+                }
             }
         }
         tokio::time::sleep(REGISTER_INTERVAL).await;
@@ -242,10 +244,9 @@
         match event {
             Event::Rows(rows) => {
                 let now = Instant::now();
-                let changed =
-                    shared
-                        .knowledge()
-                        .learn(rows.rows, rows.after, rows.revision, now);
+                let changed = shared
+                    .knowledge()
+                    .learn(rows.rows, rows.after, rows.revision, now);
                 apply(&shared, &changed, "peer");
                 if !changed.is_empty() {
                     let rows = Rows {
@@ -283,11 +284,10 @@
                 if let Some(state) = snapshot.state {
                     announces = put_state(&shared, state, "peer");
                 }
-                let changed = shared.knowledge().adopt(
-                    snapshot.targets,
-                    snapshot.revision,
-                    Instant::now(),
-                );
+                let changed =
+                    shared
+                        .knowledge()
+                        .adopt(snapshot.targets, snapshot.revision, Instant::now());
                 apply(&shared, &changed, "peer");
             }
             Err(error) => {
@@ -320,23 +320,21 @@
 
 fn apply(shared: &Shared, changed: &[Row], source: &str) {
     for row in changed {
-        match &row.endpoint {
-            Some(endpoint) => {
-                log::info!(
-                    target: "target",
-                    "event=registered target={} service={} address={} state={:?} revision={} source={source}",
-                    row.target, endpoint.service, endpoint.address, endpoint.lifecycle, row.revision
-                );
-                shared.gateway.put_target(endpoint.clone());
-            }
-            None => {
-                log::info!(
-                    target: "target",
-                    "event=gone target={} revision={} source={source}",
-                    row.target, row.revision
-                );
-                shared.gateway.remove_target(&row.target);
-            }
+        if let Some(endpoint) = &row.endpoint {
+            log::info!(
+                target: "target",
+                "event=registered target={} service={} address={} state={:?} revision={} \
+                 source={source}",
+                row.target, endpoint.service, endpoint.address, endpoint.lifecycle, row.revision
+            );
+            shared.gateway.put_target(endpoint.clone());
+        } else {
+            log::info!(
+                target: "target",
+                "event=gone target={} revision={} source={source}",
+                row.target, row.revision
+            );
+            shared.gateway.remove_target(&row.target);
         }
     }
 }
--- a/crates/node/src/knowledge.rs
+++ b/crates/node/src/knowledge.rs
@@ -10,7 +10,7 @@
 use crate::store::{Item, Record};
 
 /// Age of the last good answer of the store from which it counts as away.
-const AWAY_AFTER: Duration = Duration::from_millis(4000);
+const AWAY_AFTER: Duration = Duration::from_secs(4);
 
 /// Time after the return of the store within which targets that lapsed
 /// meanwhile register again.
--- a/crates/node/src/monitor.rs
+++ b/crates/node/src/monitor.rs
@@ -36,7 +36,10 @@
 
 impl Service for Monitor {
     fn limits(&self) -> Limits {
-        Limits { head: 8192, body: 0 }
+        Limits {
+            head: 8192,
+            body: 0,
+        }
     }
 
     fn head_timeout(&self) -> Duration {
--- /dev/null
+++ b/crates/node/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of what an entry knows.
+
+mod knowledge;
--- a/crates/peers/src/roster.rs
+++ b/crates/peers/src/roster.rs
@@ -14,7 +14,7 @@
 
 /// Time without a word after which an entry counts as gone. It covers two lost
 /// datagrams on the way through a hub.
-const LIFETIME: Duration = Duration::from_millis(2000);
+const LIFETIME: Duration = Duration::from_secs(2);
 
 /// Time after which an entry that is gone is not contacted any more.
 const FORGOTTEN: Duration = Duration::from_mins(2);
--- a/crates/peers/src/snapshot.rs
+++ b/crates/peers/src/snapshot.rs
@@ -85,7 +85,10 @@
 
 impl Service for Server {
     fn limits(&self) -> Limits {
-        Limits { head: 4096, body: 0 }
+        Limits {
+            head: 4096,
+            body: 0,
+        }
     }
 
     fn head_timeout(&self) -> Duration {
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -69,9 +69,9 @@
 
     /// Share of failures among the last results.
     pub(crate) fn failing(&self, now: Instant) -> f64 {
-        let age = self.changed.map_or(Duration::ZERO, |at| {
-            now.saturating_duration_since(at)
-        });
+        let age = self
+            .changed
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         self.share * (-age.div_duration_f64(HALF_LIFE)).exp2()
     }
 
--- a/crates/placement/src/line.rs
+++ b/crates/placement/src/line.rs
@@ -67,11 +67,10 @@
         let left = self.waiting.remove(rank);
         if left.is_some()
             && let Some(now) = departs
+            && let Some(before) = self.departed.replace(now)
         {
-            if let Some(before) = self.departed.replace(now) {
-                let interval = now.saturating_duration_since(before).min(LONGEST_INTERVAL);
-                self.interval += PACE_GAIN * (interval.as_secs_f64() - self.interval);
-            }
+            let interval = now.saturating_duration_since(before).min(LONGEST_INTERVAL);
+            self.interval += PACE_GAIN * (interval.as_secs_f64() - self.interval);
         }
         left
     }
--- a/crates/placement/src/node.rs
+++ b/crates/placement/src/node.rs
@@ -13,7 +13,6 @@
 /// Mean time for which the speed of a target stays as it is.
 const SPEED_LIFETIME: Duration = Duration::from_millis(150);
 
-
 /// Work takes this much longer on a target that was just started.
 const COLD_FACTOR: f64 = 2.0;
 
--- /dev/null
+++ b/crates/placement/tests/all/budget.rs
@@ -0,0 +1,56 @@
+//! Budget of repeats, and estimates of work.
+
+use std::time::Duration;
+
+use carobdrift_placement::{Budget, Work};
+use tokio::time::Instant;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Guards against more repeats than the share of the requests and the reserve.
+#[test]
+fn repeats_stay_within_ratio_and_reserve() {
+    let now = Instant::now();
+    let mut budget = Budget::new(0.2, 3.0, WINDOW);
+    for _ in 0..50 {
+        budget.request(now);
+    }
+
+    let granted = (0..100).filter(|_| budget.try_repeat(now)).count();
+
+    assert_eq!(granted, 13);
+}
+
+/// Guards against a budget that counts requests of an earlier window.
+#[test]
+fn requests_and_repeats_leave_the_window() {
+    let now = Instant::now();
+    let mut budget = Budget::new(0.5, 0.0, WINDOW);
+    for _ in 0..10 {
+        budget.request(now);
+    }
+    let spent = (0..10).filter(|_| budget.try_repeat(now)).count();
+    let later = now + WINDOW + Duration::from_secs(1);
+
+    let after = budget.try_repeat(later);
+    for _ in 0..10 {
+        budget.request(later);
+    }
+    let again = (0..10).filter(|_| budget.try_repeat(later)).count();
+
+    assert_eq!((spent, after, again), (5, false, 5));
+}
+
+/// Guards against an estimate that takes the slowness of a machine for work.
+#[test]
+fn work_is_measured_at_usual_speed() {
+    let mut work = Work::new(Duration::from_millis(300));
+    for _ in 0..400 {
+        work.observe(Duration::from_millis(450), 5.0);
+    }
+
+    let mean = work.mean().as_millis();
+
+    assert!((88..=92).contains(&mean), "{mean}");
+    assert!(work.high() >= work.mean());
+}
--- /dev/null
+++ b/crates/placement/tests/all/pool.rs
@@ -0,0 +1,272 @@
+//! Choice among the targets of a pool.
+
+use std::time::Duration;
+
+use carobdrift_placement::{Choice, Demand, Endpoint, Lifecycle, Outcome, Pool};
+use carobdrift_units::Target;
+use tokio::time::Instant;
+
+use crate::fixture::{demand, endpoint, load, pool, target};
+
+const WORK: Duration = Duration::from_millis(100);
+
+fn sent(choice: Choice) -> Option<String> {
+    match choice {
+        Choice::Send(endpoint) => Some(endpoint.id.to_string()),
+        _ => None,
+    }
+}
+
+fn probed(choice: Choice) -> Vec<Target> {
+    match choice {
+        Choice::Probe(endpoints) => endpoints.into_iter().map(|e| e.id).collect(),
+        _ => Vec::new(),
+    }
+}
+
+/// Sends one attempt and ends it.
+fn attempt(pool: &mut Pool, name: &str, outcome: Outcome, now: Instant) {
+    let number = pool.begin(&target(name), WORK, now);
+    pool.end(&target(name), number, outcome, now);
+}
+
+/// Guards against sending blindly to targets whose speed is not known.
+#[test]
+fn unknown_targets_are_probed_first() {
+    let now = Instant::now();
+    let mut pool = pool(&["a", "b", "c"], now);
+
+    let choice = pool.choose(demand(), now);
+
+    assert_eq!(probed(choice).len(), 2);
+}
+
+/// Guards against a choice of a slow target while a fast one is known.
+#[test]
+fn a_fast_target_with_a_fresh_report_is_chosen() {
+    let now = Instant::now();
+    let mut pool = pool(&["a", "b"], now);
+    pool.report(&target("a"), load(0, 5.0), now);
+    pool.report(&target("b"), load(0, 1.0), now);
+
+    let choice = pool.choose(demand(), now + Duration::from_millis(5));
+
+    assert_eq!(sent(choice).as_deref(), Some("b"));
+}
+
+/// Guards against trust in a report that is older than the speed of a target
+/// lasts.
+#[test]
+fn an_old_report_does_not_decide() {
+    let now = Instant::now();
+    let mut pool = pool(&["a"], now);
+    pool.report(&target("a"), load(0, 1.0), now);
+
+    let choice = pool.choose(demand(), now + Duration::from_millis(200));
+
+    assert_eq!(probed(choice), [target("a")]);
+}
+
+/// Guards against several requests that all probe the same target.
+#[test]
+fn a_probe_in_flight_is_waited_for() {
+    let now = Instant::now();
+    let mut pool = pool(&["a"], now);
+    pool.choose(demand(), now);
+
+    let second = pool.choose(demand(), now + Duration::from_millis(2));
+
+    assert_eq!(second, Choice::Slow);
+}
+
+/// Guards against a herd: requests sent since a report count at once.
+#[test]
+fn own_requests_fill_the_slots_of_a_target() {
+    let now = Instant::now();
+    let mut pool = pool(&["a", "b"], now);
+    for name in ["a", "b"] {
+        pool.report(&target(name), load(0, 1.0), now);
+    }
+
+    let chosen: Vec<String> = (0..4)
+        .map(|_| {
+            let name = sent(pool.choose(demand(), now)).unwrap();
+            pool.begin(&target(&name), WORK, now);
+            name
+        })
+        .collect();
+
+    let first = chosen.iter().filter(|name| *name == "a").count();
+    assert_eq!(first, 2, "{chosen:?}");
+    assert_eq!(sent(pool.choose(demand(), now)), None);
+}
+
+/// Guards against new work for a target that is leaving, whatever its speed.
+#[test]
+fn a_draining_target_gets_nothing() {
+    let now = Instant::now();
+    let mut pool = pool(&["a"], now);
+    pool.report(&target("a"), load(0, 1.0), now);
+    let draining = Endpoint {
+        lifecycle: Lifecycle::Draining,
+        ..endpoint("a")
+    };
+    pool.put(draining.clone(), now);
+
+    let urgent = Demand {
+        urgent: true,
+        ..demand()
+    };
+    assert_eq!(pool.choose(urgent, now), Choice::NoTarget);
+    assert!(!pool.takes(&draining));
+}
+
+/// Guards against a record that a new process inherits from the one before.
+#[test]
+fn a_new_process_under_the_same_id_starts_anew() {
+    let now = Instant::now();
+    let mut pool = pool(&["a"], now);
+    pool.report(&target("a"), load(0, 1.0), now);
+    let before = endpoint("a");
+    let after = Endpoint {
+        born: 2,
+        ..endpoint("a")
+    };
+
+    pool.put(after.clone(), now);
+
+    assert_eq!(probed(pool.choose(demand(), now)), [target("a")]);
+    assert!(pool.takes(&after));
+    assert!(!pool.takes(&before));
+}
+
+/// Guards against the classic trap: a target that fails fast looks idle.
+#[test]
+fn a_target_that_fails_is_avoided() {
+    let now = Instant::now();
+    let mut pool = pool(&["bad", "good"], now);
+    for _ in 0..3 {
+        attempt(&mut pool, "bad", Outcome::Failure, now);
+    }
+    pool.report(&target("bad"), load(0, 1.0), now);
+    pool.report(&target("good"), load(1, 1.0), now);
+
+    for _ in 0..10 {
+        assert_eq!(sent(pool.choose(demand(), now)).as_deref(), Some("good"));
+    }
+}
+
+/// Guards against an installation that stops when all targets have failed.
+#[test]
+fn failing_targets_are_used_when_there_are_no_others() {
+    let now = Instant::now();
+    let mut pool = pool(&["bad"], now);
+    for _ in 0..5 {
+        attempt(&mut pool, "bad", Outcome::Failure, now);
+    }
+
+    let urgent = Demand {
+        urgent: true,
+        ..demand()
+    };
+
+    assert_eq!(sent(pool.choose(urgent, now)).as_deref(), Some("bad"));
+}
+
+/// Guards against trust in a load that a target states while it refuses.
+#[test]
+fn refusals_of_a_target_that_states_free_slots_are_failures() {
+    let now = Instant::now();
+    let mut pool = pool(&["liar", "good"], now);
+    pool.report(&target("liar"), load(0, 1.0), now);
+    for _ in 0..3 {
+        attempt(&mut pool, "liar", Outcome::Refused, now);
+    }
+    pool.report(&target("liar"), load(0, 1.0), now);
+    pool.report(&target("good"), load(1, 1.0), now);
+
+    assert_eq!(sent(pool.choose(demand(), now)).as_deref(), Some("good"));
+}
+
+/// Guards against a target that lets requests hang while its reports are good.
+#[test]
+fn requests_that_are_stuck_speak_against_a_target() {
+    let now = Instant::now();
+    let mut pool = pool(&["hung", "good"], now);
+    pool.report(&target("hung"), load(0, 1.0), now);
+    pool.begin(&target("hung"), WORK, now);
+    let later = now + Duration::from_secs(2);
+    pool.report(&target("hung"), load(0, 1.0), later);
+    pool.report(&target("good"), load(1, 1.0), later);
+
+    assert_eq!(sent(pool.choose(demand(), later)).as_deref(), Some("good"));
+}
+
+/// Guards against a second send to the target of the first.
+#[test]
+fn tried_targets_are_left_out() {
+    let now = Instant::now();
+    let mut pool = pool(&["a", "b"], now);
+    pool.report(&target("a"), load(0, 1.0), now);
+    pool.report(&target("b"), load(0, 1.0), now);
+    let tried = [target("a")];
+
+    let demand = Demand {
+        tried: &tried,
+        ..demand()
+    };
+
+    assert_eq!(sent(pool.choose(demand, now)).as_deref(), Some("b"));
+}
+
+/// Guards against a free slow target that is taken before a busy fast one.
+#[test]
+fn a_short_queue_at_a_fast_target_beats_a_slow_one() {
+    let now = Instant::now();
+    let mut pool = pool(&["fast", "slow"], now);
+    pool.report(&target("fast"), load(2, 1.0), now);
+    pool.report(&target("slow"), load(0, 5.0), now);
+
+    let urgent = Demand {
+        urgent: true,
+        ..demand()
+    };
+
+    assert_eq!(sent(pool.choose(urgent, now)).as_deref(), Some("fast"));
+}
+
+/// Guards against a request that is sent although its answer can't come in time.
+#[test]
+fn a_target_that_would_answer_too_late_is_not_used() {
+    let now = Instant::now();
+    let mut pool = pool(&["slow"], now);
+    pool.report(&target("slow"), load(0, 5.0), now);
+
+    let urgent = Demand {
+        urgent: true,
+        max_cost: 3.0,
+        ..demand()
+    };
+
+    assert_eq!(pool.choose(urgent, now), Choice::Full);
+}
+
+/// Guards against a target of another zone that is used without need.
+#[test]
+fn a_target_of_the_own_zone_comes_first() {
+    let now = Instant::now();
+    let mut pool = pool(&["near"], now);
+    pool.put(
+        Endpoint {
+            zone: "z2".parse().unwrap(),
+            ..endpoint("far")
+        },
+        now,
+    );
+    pool.report(&target("near"), load(0, 1.0), now);
+    pool.report(&target("far"), load(0, 1.0), now);
+
+    for _ in 0..10 {
+        assert_eq!(sent(pool.choose(demand(), now)).as_deref(), Some("near"));
+    }
+}
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -32,7 +32,10 @@
                     backends: route.backends.clone(),
                     credit: vec![0; route.backends.len()],
                 };
-                self.routes.entry(route.name.clone()).insert_entry(turn).into_mut()
+                self.routes
+                    .entry(route.name.clone())
+                    .insert_entry(turn)
+                    .into_mut()
             }
         };
         turn.next().map(|index| &route.backends[index].service)
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -1,1 +1,129 @@
-//! Tests.
+//! Tests of the desired state.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carobdrift_routing::{
+    Backend, Fault, Kind, Limits, Route, Service, Splits, State, Table, host_name,
+};
+use carobdrift_units::Version;
+
+fn route(name: &str, prefix: &str, backends: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(250),
+        max_attempts: 2,
+        priority: 1,
+        backends: backends
+            .iter()
+            .map(|(service, weight)| Backend {
+                service: service.parse().unwrap(),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+fn state(routes: Vec<Route>) -> State {
+    let service = Service {
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+    };
+    State {
+        version: Version(7),
+        routes,
+        services: BTreeMap::from([
+            ("a".parse().unwrap(), service.clone()),
+            ("b".parse().unwrap(), service),
+        ]),
+        limits: Limits::default(),
+    }
+}
+
+/// Guards against a shorter prefix that hides a longer one.
+#[test]
+fn the_longest_prefix_wins() {
+    let table = Table::new(state(vec![
+        route("short", "/a/", &[("a", 1)]),
+        route("long", "/a/b/", &[("a", 1)]),
+    ]));
+
+    let found = |host, path| table.find(host, path).map(|route| route.name.as_str());
+
+    assert_eq!(found("shop.example", "/a/b/c"), Some("long"));
+    assert_eq!(found("shop.example", "/a/bc"), Some("short"));
+    assert_eq!(found("SHOP.example", "/a/"), Some("short"));
+    assert_eq!(found("shop.example", "/a"), None);
+    assert_eq!(found("other.example", "/a/b/"), None);
+}
+
+/// Guards against a port that keeps a host from being found.
+#[test]
+fn ports_are_no_part_of_a_host_name() {
+    assert_eq!(host_name("shop.example:8080"), "shop.example");
+    assert_eq!(host_name("shop.example"), "shop.example");
+}
+
+/// Guards against shares that miss the weights over few requests.
+#[test]
+fn a_split_follows_its_weights() {
+    let split = route("r", "/", &[("a", 90), ("b", 10)]);
+    let mut splits = Splits::default();
+
+    let chosen: Vec<String> = (0..50)
+        .map(|_| splits.choose(&split).unwrap().to_string())
+        .collect();
+
+    let second = chosen.iter().filter(|service| *service == "b").count();
+    assert_eq!(second, 5);
+}
+
+/// Guards against a share that stays with its old weight, and against requests
+/// to a service of weight zero.
+#[test]
+fn a_change_of_weights_counts_at_once() {
+    let mut splits = Splits::default();
+    let before = route("r", "/", &[("a", 1), ("b", 1)]);
+    let after = route("r", "/", &[("a", 0), ("b", 1)]);
+    for _ in 0..3 {
+        splits.choose(&before);
+    }
+
+    let chosen: Vec<String> = (0..10)
+        .map(|_| splits.choose(&after).unwrap().to_string())
+        .collect();
+
+    assert!(chosen.iter().all(|service| service == "b"), "{chosen:?}");
+}
+
+/// Guards against a desired state whose faults are found one by one.
+#[test]
+fn all_faults_are_listed() {
+    let checked = state(vec![
+        route("r1", "/a", &[("a", 1)]),
+        route("r2", "/b/", &[("gone", 1)]),
+        route("r3", "/c/", &[("a", 0)]),
+    ]);
+
+    let faults = checked.check();
+
+    assert_eq!(
+        faults,
+        [
+            Fault::Prefix {
+                route: "r1".to_owned()
+            },
+            Fault::UnknownService {
+                route: "r2".to_owned(),
+                service: "gone".parse().unwrap()
+            },
+            Fault::NoBackend {
+                route: "r3".to_owned()
+            },
+        ]
+    );
+}
