--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -28,14 +28,18 @@
 
 /// Interval at which an entry that does not read the store looks whether it
 /// should.
-const ROLE_INTERVAL: Duration = Duration::from_millis(100);
+const ROLE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time for which an entry that began to read the store goes on.
 const READING_TIME: Duration = Duration::from_secs(3);
 
-/// Time for which an entry that starts waits for a word of the others before it
-/// reads the store.
-const JOIN_TIME: Duration = Duration::from_millis(500);
+/// Time for which an entry waits for a word of the others before it reads the
+/// store, when all entries start together: few of them need to read it.
+const FIRST_JOIN_TIME: Duration = Duration::from_millis(500);
+
+/// The same when this entry starts again. Others that run answer within some
+/// milliseconds; where all were lost, callers are waiting.
+const JOIN_TIME: Duration = Duration::from_millis(80);
 
 /// Time after the start from which an entry that still knows nothing reads the
 /// store, whoever else does.
@@ -61,11 +65,19 @@
     tokio::spawn(join(Arc::clone(shared), peers.clone()));
 }
 
+fn join_time(shared: &Shared) -> Duration {
+    if shared.settings.first_start {
+        FIRST_JOIN_TIME
+    } else {
+        JOIN_TIME
+    }
+}
+
 /// Finds the other entries, and registers this one if it is a hub: entries that
 /// start find a hub by the seeds or else by the store.
 async fn join(shared: Arc<Shared>, peers: Peers) {
     peers.name(shared.settings.seeds.iter().copied());
-    tokio::time::sleep(JOIN_TIME).await;
+    tokio::time::sleep(join_time(&shared)).await;
     let mut registered = false;
     let mut searched = false;
     loop {
@@ -105,7 +117,7 @@
     loop {
         let now = Instant::now();
         let position = position(&shared, &peers, now);
-        let joined = !position.is_alone() || begin + JOIN_TIME <= now;
+        let joined = !position.is_alone() || begin + join_time(&shared) <= now;
         let unknown = !shared.has_read(subject) && begin + START_TIME <= now;
         if joined && (unknown || position.reads(shared.known_store_age(now))) {
             reads_until = now + READING_TIME;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -155,7 +155,10 @@
             .peers
             .roster()
             .alive(now)
-            .filter(|(_, peer)| peer.phase == Phase::Ready)
+            .filter(|(_, peer)| {
+                let local = peer.zone == self.shared.settings.zone;
+                peer.phase == Phase::Ready && (!local || peer.is_prompt(now))
+            })
             .map(|(address, peer)| Ready {
                 zone: peer.zone.clone(),
                 caller: SocketAddr::new(address, port),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -21,6 +21,9 @@
     pub metrics: SocketAddr,
     /// Entries that may be running.
     pub seeds: Vec<IpAddr>,
+    /// Whether the whole installation starts for the first time, rather than
+    /// this entry again.
+    pub first_start: bool,
     /// Processor of the machine, in thousandths of a core.
     pub capacity: u32,
     /// Time for which callers may keep an address answer, as far as the
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -17,11 +17,11 @@
 use crate::snapshot::{Server, Snapshot};
 
 /// Interval of beats and digests within a zone.
-const INTERVAL: Duration = Duration::from_millis(500);
+const INTERVAL: Duration = Duration::from_millis(250);
 
 /// Digests to other zones go out each this many intervals: bytes between zones
 /// are dear.
-const REMOTE_EVERY: u32 = 2;
+const REMOTE_EVERY: u32 = 4;
 
 /// Interval at which an entry that nobody answered yet beats to the entries
 /// that it was told of.
@@ -205,7 +205,7 @@
     async fn beat(self) {
         let mut round = 0_u32;
         loop {
-            let alone = self.roster().silence(Instant::now()) > INTERVAL * 4;
+            let alone = self.roster().silence(Instant::now()) > INTERVAL * 8;
             self.send_beat().await;
             if self.is_hub() {
                 self.send_digest(round.is_multiple_of(REMOTE_EVERY)).await;
--- a/crates/peers/src/roster.rs
+++ b/crates/peers/src/roster.rs
@@ -16,6 +16,11 @@
 /// datagrams on the way through a hub.
 const LIFETIME: Duration = Duration::from_secs(2);
 
+/// Time without a word after which callers are not sent to an entry of the same
+/// zone. It covers two lost datagrams there, and is short because a frozen entry
+/// holds the requests of its callers.
+const PROMPT: Duration = Duration::from_millis(900);
+
 /// Time after which an entry that is gone is not contacted any more.
 const FORGOTTEN: Duration = Duration::from_mins(2);
 
@@ -50,6 +55,12 @@
 }
 
 impl Peer {
+    /// Whether it was heard of so lately that callers may be sent to it.
+    #[must_use]
+    pub fn is_prompt(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) <= PROMPT
+    }
+
     /// Whether it was heard of lately.
     #[must_use]
     pub fn is_alive(&self, now: Instant) -> bool {
