--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
+use std::time::Duration;
 
 use log::{LevelFilter, Record};
 use log4rs::append::Append;
@@ -21,6 +22,10 @@
 /// stalls must not stall requests.
 const QUEUE: usize = 2048;
 
+/// Pause between two writes, in which lines gather: each write and each wake-up
+/// of the writer costs processor time that requests need.
+const PAUSE: Duration = Duration::from_millis(25);
+
 /// Bytes that are written at a time.
 const BATCH: usize = 64 * 1024;
 
@@ -96,6 +101,7 @@
     let mut batch = Vec::with_capacity(BATCH);
     while let Ok(line) = lines.recv() {
         batch.extend_from_slice(&line);
+        // What came in the pause, and the rest of a burst.
         while batch.len() < BATCH
             && let Ok(line) = lines.try_recv()
         {
@@ -105,5 +111,6 @@
         let _ = io::stdout().write_all(&batch);
         let _ = io::stdout().flush();
         batch.clear();
+        thread::sleep(PAUSE);
     }
 }
