Let few entries read the store at the start

The time for which a reader goes on is gone; on a first start entries learn of each other for 0.7 s before any reads.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -30,20 +30,20 @@
 /// should.
 const ROLE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time for which an entry that began to read the store goes on.
-const READING_TIME: Duration = Duration::from_secs(3);
-
 /// Time for which an entry waits for a word of the others before it reads the
 /// store, when all entries start together: few of them need to read it.
-const FIRST_JOIN_TIME: Duration = Duration::from_millis(500);
+const FIRST_JOIN_TIME: Duration = Duration::from_millis(1500);
 
 /// The same when this entry starts again. Others that run answer within some
 /// milliseconds; where all were lost, callers are waiting.
 const JOIN_TIME: Duration = Duration::from_millis(80);
 
-/// Time after the start from which an entry that still knows nothing reads the
-/// store, whoever else does.
-const START_TIME: Duration = Duration::from_secs(2);
+/// Time after a first start in which the entries learn of each other.
+const ROSTER_TIME: Duration = Duration::from_millis(700);
+
+/// Time after that from which an entry that still knows nothing reads the store,
+/// whoever else does.
+const START_TIME: Duration = Duration::from_millis(1500);
 
 /// Interval at which a hub makes sure that it is registered in the store.
 const REGISTER_INTERVAL: Duration = Duration::from_secs(2);
@@ -112,17 +112,18 @@
     let begin = Instant::now();
     let mut after = None;
     let mut pause = FAILURE_PAUSE;
-    let mut reads_until = begin;
     let mut failing = false;
     loop {
         let now = Instant::now();
         let position = position(&shared, &peers, now);
-        let joined = !position.is_alone() || begin + join_time(&shared) <= now;
-        let unknown = !shared.has_read(subject) && begin + START_TIME <= now;
-        if joined && (unknown || position.reads(shared.known_store_age(now))) {
-            reads_until = now + READING_TIME;
-        }
-        if reads_until <= now {
+        let joined = if position.is_alone() {
+            begin + join_time(&shared) <= now
+        } else {
+            !shared.settings.first_start || begin + ROSTER_TIME <= now
+        };
+        let unknown = !shared.has_read(subject) && begin + join_time(&shared) + START_TIME <= now;
+        let reads = joined && (unknown || position.reads(shared.known_store_age(now)));
+        if !reads {
             after = None;
             if std::mem::take(&mut failing) {
                 shared.note_failure(subject, false);
