--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -140,7 +140,14 @@
         let mut urgent = self.is_overloaded();
         loop {
             let chosen = if waiting.is_first() {
-                self.choose(call, tried, &probed, urgent, &work)
+                // While others wait, nothing is sent that would be late: its slot
+                // could serve one of them in time.
+                let end = if waiting.rank.late {
+                    call.give_up
+                } else {
+                    call.aim().min(call.give_up)
+                };
+                self.choose(call, tried, &probed, urgent, &work, end)
             } else {
                 Some((Choice::Full, 0))
             };
@@ -205,13 +212,16 @@
         probed: &[Target],
         urgent: bool,
         work: &Work,
+        end: Instant,
     ) -> Option<(Choice, u64)> {
         let demand = Demand {
             tried,
             probed,
             repeatable: call.is_repeatable(),
             urgent,
-            max_cost: call.left().div_duration_f64(work.mean()),
+            max_cost: end
+                .saturating_duration_since(Instant::now())
+                .div_duration_f64(work.mean()),
         };
         self.services.with_pool(&call.service, |pool, now| {
             let choice = pool.choose(demand, now);
