--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_http1::{Connection, Response, encode_request};
+use carobdrift_http1::{Connection, ExchangeError, Response, encode_request};
 use carobdrift_placement::Outcome;
 use tokio::time::Instant;
 
@@ -114,22 +114,35 @@
                     }
                     return ended;
                 }
-                // The target closed the kept connection before any byte of
-                // this request went out.
-                Err(0) if reused => {}
-                Err(0) => return Ended::NotSent,
-                Err(_) => return Ended::Broken("broken"),
+                Err(error) => {
+                    log::info!(
+                        target: "attempt",
+                        "event=no-answer id={} target={} connection={} sent={} error=\"{}\"",
+                        call.id.as_deref().unwrap_or("-"),
+                        endpoint.id,
+                        if reused { "kept" } else { "new" },
+                        error.sent,
+                        error.cause
+                    );
+                    match error.sent {
+                        // The target closed the kept connection before any
+                        // byte of this request went out.
+                        0 if reused => {}
+                        0 => return Ended::NotSent,
+                        _ => return Ended::Broken("broken"),
+                    }
+                }
             }
         }
     }
 
-    /// Runs the exchange; fails with the number of bytes that were sent.
+    /// Runs the exchange.
     async fn exchange(
         &self,
         call: &Call,
         placed: &Placement,
         connection: &mut Connection,
-    ) -> Result<Ended, usize> {
+    ) -> Result<Ended, ExchangeError> {
         let endpoint = &placed.endpoint;
         let mut headers = call.headers.clone();
         self.dialect
@@ -142,10 +155,7 @@
         if sent == 0 && !was_dispatched {
             call.clear_dispatched();
         }
-        let response = result.map_err(|error| {
-            log::debug!(target: "attempt", "exchange with {} failed: {error}", endpoint.id);
-            error.sent
-        })?;
+        let response = result?;
         if let Some(load) = self.dialect.load(&response.headers) {
             self.services.report(endpoint, load);
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,6 +34,8 @@
 struct Attempts {
     running: FuturesUnordered<BoxFuture<'static, Ended>>,
     tried: Vec<Target>,
+    /// The same with what they were chosen by, for the log.
+    choices: Vec<String>,
     /// Attempts that counted as sends to a target.
     sends: u32,
     unsent: u32,
@@ -64,6 +66,7 @@
         let mut attempts = Attempts {
             running: FuturesUnordered::new(),
             tried: Vec::new(),
+            choices: Vec::new(),
             sends: 0,
             unsent: 0,
             fallback: None,
@@ -90,7 +93,7 @@
             call.route.name,
             call.service,
             call.version,
-            names(&attempts.tried),
+            attempts.choices.join(","),
             attempts.sends
         );
         let mut response = answer.response;
@@ -177,7 +180,12 @@
 impl Attempts {
     fn start(&mut self, gateway: &Arc<Gateway>, call: &Arc<Call>, placed: crate::place::Placement) {
         self.sends += 1;
-        self.tried.push(placed.endpoint.id.clone());
+        let target = &placed.endpoint.id;
+        self.choices.push(match placed.basis {
+            Some(basis) => format!("{target}/{basis}"),
+            None => target.to_string(),
+        });
+        self.tried.push(target.clone());
         let gateway = Arc::clone(gateway);
         let call = Arc::clone(call);
         self.running.push(Box::pin(
@@ -247,8 +255,3 @@
         outcome: refusal.as_str(),
     }
 }
-
-fn names(targets: &[Target]) -> String {
-    let names: Vec<&str> = targets.iter().map(Target::as_str).collect();
-    names.join(",")
-}
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_placement::{Choice, Demand, Endpoint, Outcome, Rank, Work};
+use carobdrift_placement::{Basis, Choice, Demand, Endpoint, Outcome, Rank, Work};
 use carobdrift_units::{Service, Target};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
@@ -30,6 +30,8 @@
     gateway: Arc<Gateway>,
     call: Arc<Call>,
     pub(crate) endpoint: Endpoint,
+    /// What the target was chosen by.
+    pub(crate) basis: Option<Basis>,
     attempt: u64,
     ended: bool,
 }
@@ -149,25 +151,26 @@
                 };
                 self.choose(call, tried, &probed, urgent, &work, end)
             } else {
-                Some((Choice::Full, 0))
+                Some((Choice::Full, 0, None))
             };
             match chosen {
-                None | Some((Choice::NoTarget, _)) => return Err(Refusal::NoTarget),
-                Some((Choice::Send(endpoint), attempt)) => {
+                None | Some((Choice::NoTarget, ..)) => return Err(Refusal::NoTarget),
+                Some((Choice::Send(endpoint), attempt, basis)) => {
                     waiting.leave(true);
                     return Ok(Placement {
                         gateway: Arc::clone(self),
                         call: Arc::clone(call),
                         endpoint,
+                        basis,
                         attempt,
                         ended: false,
                     });
                 }
-                Some((Choice::Probe(targets), _)) => {
+                Some((Choice::Probe(targets), ..)) => {
                     probed.extend(targets.iter().map(|target| target.id.clone()));
                     self.probe_any(call, targets).await;
                 }
-                Some((Choice::Slow, _)) => {
+                Some((Choice::Slow, ..)) => {
                     // Others need not wait for a better target than they need.
                     waiting.leave(false);
                     let now = Instant::now();
@@ -178,7 +181,7 @@
                         probed.clear();
                     }
                 }
-                Some((Choice::Full, _)) => {
+                Some((Choice::Full, ..)) => {
                     let now = Instant::now();
                     if now >= refuse_at {
                         return Err(Refusal::Busy);
@@ -213,7 +216,7 @@
         urgent: bool,
         work: &Work,
         end: Instant,
-    ) -> Option<(Choice, u64)> {
+    ) -> Option<(Choice, u64, Option<Basis>)> {
         let demand = Demand {
             tried,
             probed,
@@ -225,11 +228,14 @@
         };
         self.services.with_pool(&call.service, |pool, now| {
             let choice = pool.choose(demand, now);
-            let attempt = match &choice {
-                Choice::Send(endpoint) => pool.begin(&endpoint.id, work.mean(), now),
-                _ => 0,
+            let (attempt, basis) = match &choice {
+                Choice::Send(endpoint) => {
+                    let basis = pool.basis(&endpoint.id, now);
+                    (pool.begin(&endpoint.id, work.mean(), now), basis)
+                }
+                _ => (0, None),
             };
-            (choice, attempt)
+            (choice, attempt, basis)
         })
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,5 +18,5 @@
 pub use line::{Line, Rank};
 pub use node::{Endpoint, Lifecycle};
 pub use pool::{Choice, Demand, Pool};
-pub use report::{Load, Outcome};
+pub use report::{Basis, Load, Outcome};
 pub use work::Work;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use crate::node::{Endpoint, Lifecycle, Node, Usual};
-use crate::report::{Load, Outcome};
+use crate::report::{Basis, Load, Outcome};
 
 /// Age up to which a report decides without a probe. The speed of a target
 /// changes about every 150 ms, so a report of this age is right nine times out
@@ -206,6 +206,18 @@
         self.attempts
     }
 
+    /// What is known of a target now.
+    #[must_use]
+    pub fn basis(&self, target: &Target, now: Instant) -> Option<Basis> {
+        let node = self.nodes.get(target)?;
+        Some(Basis {
+            slowdown: node.stated_slowdown(),
+            age: node.age(now).unwrap_or_default(),
+            occupancy: node.occupancy(self.usual, now),
+            slots: node.slots(),
+        })
+    }
+
     /// Ends an attempt; returns the time that it took.
     pub fn end(
         &mut self,
--- a/crates/placement/src/report.rs
+++ b/crates/placement/src/report.rs
@@ -1,5 +1,8 @@
 //! What is observed of targets.
 
+use std::fmt;
+use std::time::Duration;
+
 use tokio::time::Instant;
 
 /// Load that a target states of itself.
@@ -28,6 +31,34 @@
     Cancelled,
 }
 
+/// What a target was chosen by, for logs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Basis {
+    /// Slowdown that the target stated last; absent when it stated none.
+    pub slowdown: Option<f64>,
+    /// Age of that statement.
+    pub age: Duration,
+    /// Requests that the target was expected to have.
+    pub occupancy: u32,
+    /// Requests that it can execute at a time.
+    pub slots: u32,
+}
+
+impl fmt::Display for Basis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            occupancy, slots, ..
+        } = self;
+        match self.slowdown {
+            Some(slowdown) => {
+                let age = self.age.as_millis();
+                write!(f, "x{slowdown:.1}/{age}ms/{occupancy}of{slots}")
+            }
+            None => write!(f, "unknown/{occupancy}of{slots}"),
+        }
+    }
+}
+
 /// A load with the moment at which it was stated.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Stated {
