--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -257,6 +257,15 @@
         self.send_members(&members, beat.news, &receivers).await;
     }
 
+    /// Tells the zone and the hubs of other zones of one entry that changed.
+    async fn send_change(&self, address: IpAddr, peer: &Peer) {
+        let news = self.statement().news;
+        let mut receivers = self.neighbours();
+        receivers.extend(self.all_hubs());
+        let member = member(address, peer, Instant::now());
+        self.send_members(&[member], news, &receivers).await;
+    }
+
     async fn send_members(&self, members: &[Member], news: News, receivers: &[IpAddr]) {
         for part in members.chunks(MEMBERS) {
             let digest = Datagram::Digest(Digest {
@@ -342,7 +351,7 @@
                         beat.zone, beat.phase, beat.started
                     );
                     if self.is_hub() {
-                        self.send_digest(true).await;
+                        self.send_change(from, &Peer::from((&beat, now))).await;
                     }
                     // A new entry learns of this one at once.
                     let own = Datagram::Beat(self.statement());
