Accept connections in one place

Five listeners spelled out the same loop, and services of small questions the same limits. http1::listen serves them all; its limits are the defaults of a service.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,19 +1,14 @@
 //! Listener for callers.
 
-use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
-use carobdrift_http1::serve;
+use carobdrift_http1::listen;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::gateway::Gateway;
 
-/// Pause after a failure to accept, such as too many open files.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// A running listener for callers.
 #[derive(Debug)]
 pub struct Listener {
@@ -29,7 +24,7 @@
             stop: CancellationToken::new(),
             connections: TaskTracker::new(),
         };
-        tokio::spawn(accept(
+        tokio::spawn(listen(
             listener,
             gateway,
             running.stop.clone(),
@@ -46,33 +41,3 @@
         self.connections.wait().await;
     }
 }
-
-async fn accept(
-    listener: TcpListener,
-    gateway: Arc<Gateway>,
-    stop: CancellationToken,
-    connections: TaskTracker,
-) {
-    loop {
-        let accepted: io::Result<_> = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let gateway = Arc::clone(&gateway);
-                let stop = stop.clone();
-                let open = gateway.metrics.callers.clone();
-                connections.spawn(async move {
-                    open.inc();
-                    serve(stream, gateway, stop).await;
-                    open.dec();
-                });
-            }
-            Err(error) => {
-                log::warn!(target: "entry", "event=accept-failed error=\"{error}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,9 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-};
+use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry};
 
 /// Bounds of the latency buckets, in seconds.
 const BUCKETS: &[f64] = &[
@@ -19,7 +17,6 @@
     pub(crate) attempts: IntCounterVec,
     pub(crate) probes: IntCounterVec,
     pub(crate) connections: IntCounter,
-    pub(crate) callers: IntGauge,
 }
 
 impl Metrics {
@@ -54,14 +51,12 @@
                 "carobdrift_target_connections_total",
                 "Connections opened to targets",
             )?,
-            callers: IntGauge::new("carobdrift_caller_connections", "Open caller connections")?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.probes.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
-        registry.register(Box::new(metrics.callers.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -3,7 +3,7 @@
 //! The data path needs three things that a general HTTP library hides: whether
 //! any byte of a request was handed to the kernel, whether a connection holds
 //! bytes that belong to no request, and pipelined requests that are served
-//! concurrently and answered in order. [`serve`] runs a server connection over
+//! concurrently and answered in order. [`listen`] serves connections with
 //! a [`Service`]; [`Connection`] is a client connection with one exchange at a
 //! time. Messages are whole: bodies are read to their end, within limits.
 
@@ -19,4 +19,4 @@
 pub use encode::{encode_request, encode_response};
 pub use message::{Request, Response};
 pub use reader::{Limits, ReadError, Reader};
-pub use server::{Service, serve};
+pub use server::{Service, listen, serve};
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -10,10 +10,11 @@
 use futures_util::stream::FuturesOrdered;
 use http::{Method, StatusCode};
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::encode::encode_response;
 use crate::message::{Request, Response};
@@ -30,25 +31,71 @@
 /// the way do not reset it before the last response has arrived.
 const LINGER: Duration = Duration::from_secs(1);
 
+/// Largest head of a request to a service that sets no limits, in bytes.
+const QUESTION_BYTES: usize = 8 * 1024;
+
+/// Time limits of a connection to a service that sets none.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause after a failure to accept, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// What serves the requests of a connection.
 pub trait Service: Send + Sync + 'static {
-    /// Limits for the next request.
-    fn limits(&self) -> Limits;
+    /// Limits for the next request; small questions unless told otherwise.
+    fn limits(&self) -> Limits {
+        Limits {
+            head: QUESTION_BYTES,
+            body: 0,
+        }
+    }
 
     /// Time for the head of a request, counted from its first byte.
-    fn head_timeout(&self) -> Duration;
+    fn head_timeout(&self) -> Duration {
+        QUESTION_TIMEOUT
+    }
 
     /// Time for which a connection without requests is kept, and for which a
     /// body may make no progress.
-    fn idle_timeout(&self) -> Duration;
+    fn idle_timeout(&self) -> Duration {
+        QUESTION_TIMEOUT
+    }
 
     /// Whether connections are to be closed after the requests in progress.
-    fn is_closing(&self) -> bool;
+    fn is_closing(&self) -> bool {
+        false
+    }
 
     /// Serves a request. The future is dropped when the caller leaves.
     fn call(self: Arc<Self>, request: Request) -> impl Future<Output = Response> + Send;
 }
 
+/// Serves the connections of a listener. Once `stop` is cancelled no further
+/// connection is accepted and no further request is read; `connections` tracks
+/// those that are open.
+pub async fn listen<S: Service>(
+    listener: TcpListener,
+    service: Arc<S>,
+    stop: CancellationToken,
+    connections: TaskTracker,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                connections.spawn(serve(stream, Arc::clone(&service), stop.clone()));
+            }
+            Err(error) => {
+                log::warn!(target: "entry", "event=accept-failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Serves the requests of a connection until it ends. Once `stop` is cancelled
 /// no further request is read.
 pub async fn serve<S: Service>(stream: TcpStream, service: Arc<S>, stop: CancellationToken) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,11 +13,13 @@
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::directory::{self, Ready};
 use crate::follower;
 use crate::knowledge::Knowledge;
-use crate::monitor;
+use crate::monitor::Monitor;
 use crate::settings::Settings;
 use crate::store::{Store, Subject};
 
@@ -110,7 +112,12 @@
         let gateway = Gateway::open(&settings.gateway, dialect, Metrics::register(&registry)?);
         let callers = listen(settings.caller).await?;
         let metrics = listen(settings.metrics).await?;
-        tokio::spawn(monitor::run(metrics, registry));
+        tokio::spawn(carobdrift_http1::listen(
+            metrics,
+            Arc::new(Monitor(registry)),
+            CancellationToken::new(),
+            TaskTracker::new(),
+        ));
         let shared = Arc::new(Shared {
             gateway: Arc::clone(&gateway),
             store,
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::datagram::{Beat, Datagram, Digest, MAX_DATAGRAM, Member, News, Row, Rows};
 use crate::roster::{Peer, Roster};
@@ -101,7 +102,12 @@
         let (sender, events) = mpsc::channel(EVENTS);
         tokio::spawn(peers.clone().receive(sender));
         tokio::spawn(peers.clone().beat());
-        tokio::spawn(serve(listener, Arc::new(Server(source))));
+        tokio::spawn(carobdrift_http1::listen(
+            listener,
+            Arc::new(Server(source)),
+            CancellationToken::new(),
+            TaskTracker::new(),
+        ));
         Ok((peers, events))
     }
 
@@ -388,22 +394,3 @@
         age_ms: u32::try_from(age).unwrap_or(u32::MAX),
     }
 }
-
-async fn serve(listener: TcpListener, server: Arc<Server>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let server = Arc::clone(&server);
-                tokio::spawn(carobdrift_http1::serve(
-                    stream,
-                    server,
-                    CancellationToken::new(),
-                ));
-            }
-            Err(error) => {
-                log::warn!(target: "peers", "event=accept-failed error=\"{error}\"");
-                tokio::time::sleep(INTERVAL).await;
-            }
-        }
-    }
-}
--- a/crates/peers/src/snapshot.rs
+++ b/crates/peers/src/snapshot.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use carobdrift_http1::{
-    Connection, ExchangeError, Limits, OpenError, Request, Response, Service, encode_request,
+    Connection, ExchangeError, OpenError, Request, Response, Service, encode_request,
 };
 use carobdrift_routing::State;
 use carobdrift_units::Version;
@@ -25,9 +25,6 @@
 /// Largest snapshot, in bytes.
 const MAX_SNAPSHOT: u64 = 64 * 1024 * 1024;
 
-/// Time limits of a connection that fetches snapshots.
-const SERVER_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Everything that an entry knows of the installation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
@@ -84,21 +81,6 @@
 pub(crate) struct Server(pub(crate) Source);
 
 impl Service for Server {
-    fn limits(&self) -> Limits {
-        Limits {
-            head: 4096,
-            body: 0,
-        }
-    }
-
-    fn head_timeout(&self) -> Duration {
-        SERVER_TIMEOUT
-    }
-
-    fn idle_timeout(&self) -> Duration {
-        SERVER_TIMEOUT
-    }
-
     fn is_closing(&self) -> bool {
         true
     }
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -5,14 +5,17 @@
 use std::sync::Arc;
 
 use carobdrift_adapter::{
-    Client, Directory, Headers, Invalid, Readiness, SETTINGS_VARIABLE, Settings, listen,
+    Client, Directory, Headers, Invalid, Readiness, SETTINGS_VARIABLE, Settings,
 };
+use carobdrift_http1::listen;
 use carobdrift_node::{Node, set_up_logging};
 use clap::Args;
 use eyre::WrapErr;
 use log::LevelFilter;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Exit status for settings that are invalid.
 const INVALID_SETTINGS: u8 = 2;
@@ -79,8 +82,20 @@
         .await
         .wrap_err("the entry could not start")?;
     let node = Arc::new(node);
-    tokio::spawn(listen(directory, Arc::new(Directory(Arc::clone(&node)))));
-    tokio::spawn(listen(ready, Arc::new(Readiness(Arc::clone(&node)))));
+    let stop = CancellationToken::new();
+    let connections = TaskTracker::new();
+    tokio::spawn(listen(
+        directory,
+        Arc::new(Directory(Arc::clone(&node))),
+        stop.clone(),
+        connections.clone(),
+    ));
+    tokio::spawn(listen(
+        ready,
+        Arc::new(Readiness(Arc::clone(&node))),
+        stop,
+        connections,
+    ));
     tokio::spawn(watch_settings(reload, path));
     terminate.recv().await;
     node.leave().await;
