--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -55,6 +55,30 @@
     }
 }
 
+/// Moments until which a request waits for a target.
+#[derive(Debug, Clone, Copy)]
+struct Patience {
+    /// For a fast target, while there are slow ones with room.
+    hold: Instant,
+    /// For any target; from here on the answer would be late.
+    aim: Instant,
+    /// In line at all.
+    refuse: Instant,
+}
+
+impl Patience {
+    fn new(call: &Call, work: &Work) -> Self {
+        let margin = work.mean().mul_f64(WORK_MARGIN);
+        let hold = call.received + call.route.target_latency.mul_f64(HOLD_PART);
+        let before = |end: Instant| end.checked_sub(margin).unwrap_or(call.received);
+        Self {
+            hold,
+            aim: before(call.aim()),
+            refuse: before(call.give_up).min(call.aim()).max(hold),
+        }
+    }
+}
+
 /// A request in the line of its service; dropping it leaves the line.
 struct Waiting {
     gateway: Arc<Gateway>,
@@ -100,6 +124,30 @@
         }
     }
 
+    /// Waits in line until a slot may be free, or for a moment. Returns whether
+    /// only time has passed.
+    async fn wait(&mut self, patience: &Patience) -> Result<bool, Refusal> {
+        let now = Instant::now();
+        if now >= patience.refuse {
+            return Err(Refusal::Busy);
+        }
+        if now >= patience.aim {
+            self.step_back();
+        }
+        if !self.joined {
+            let services = &self.gateway.services;
+            let wait = services.expected_wait(&self.service, &self.rank);
+            if now + wait > patience.refuse {
+                return Err(Refusal::Busy);
+            }
+            self.join();
+        }
+        let look = (now + LOOK_INTERVAL).min(patience.refuse);
+        Ok(tokio::time::timeout_at(look, self.woken.notified())
+            .await
+            .is_err())
+    }
+
     /// Lets requests come first that can still be answered in time.
     fn step_back(&mut self) {
         if !self.rank.late {
@@ -122,20 +170,14 @@
 impl Gateway {
     /// Places a request on a target that it was not sent to before. Waits while
     /// a better target is likely to be found in time, and in line while no
-    /// target has room.
+    /// target would answer in time.
     pub(crate) async fn place(
         self: &Arc<Self>,
         call: &Arc<Call>,
         tried: &[Target],
     ) -> Result<Placement, Refusal> {
         let work = self.services.work(&call.route);
-        let margin = work.mean().mul_f64(WORK_MARGIN);
-        let held_until = call.received + call.route.target_latency.mul_f64(HOLD_PART);
-        // From here on the answer would be late.
-        let aim_until = call.aim().checked_sub(margin).unwrap_or(call.received);
-        // From here on there would be none.
-        let last = call.give_up.checked_sub(margin).unwrap_or(call.received);
-        let refuse_at = last.min(call.aim()).max(held_until);
+        let patience = Patience::new(call, &work);
         let mut waiting = Waiting::new(self, call);
         let mut probed = Vec::new();
         // Probes would only add to the load of this machine.
@@ -169,42 +211,24 @@
                 Some((Choice::Probe(targets), ..)) => {
                     probed.extend(targets.iter().map(|target| target.id.clone()));
                     self.probe_any(call, targets).await;
+                    continue;
                 }
                 Some((Choice::Slow, ..)) => {
                     // Others need not wait for a better target than they need.
                     waiting.leave(false);
-                    let now = Instant::now();
-                    urgent |= now >= held_until;
-                    if !urgent {
-                        let look = (now + LOOK_INTERVAL).min(held_until);
+                    if Instant::now() < patience.hold && !urgent {
+                        let look = (Instant::now() + LOOK_INTERVAL).min(patience.hold);
                         tokio::time::sleep_until(look).await;
                         probed.clear();
                     }
                 }
                 Some((Choice::Full, ..)) => {
-                    let now = Instant::now();
-                    if now >= refuse_at {
-                        return Err(Refusal::Busy);
-                    }
-                    if now >= aim_until {
-                        waiting.step_back();
-                    }
-                    if !waiting.joined {
-                        let wait = self.services.expected_wait(&call.service, &waiting.rank);
-                        if now + wait > refuse_at {
-                            return Err(Refusal::Busy);
-                        }
-                        waiting.join();
-                    }
-                    urgent |= now >= held_until;
-                    tokio::select! {
-                        () = waiting.woken.notified() => {}
-                        () = tokio::time::sleep_until((now + LOOK_INTERVAL).min(refuse_at)) => {
-                            probed.clear();
-                        }
+                    if waiting.wait(&patience).await? {
+                        probed.clear();
                     }
                 }
             }
+            urgent |= Instant::now() >= patience.hold;
         }
     }
 
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -114,16 +114,7 @@
     let mut pause = FAILURE_PAUSE;
     let mut failing = false;
     loop {
-        let now = Instant::now();
-        let position = position(&shared, &peers, now);
-        let joined = if position.is_alone() {
-            begin + join_time(&shared) <= now
-        } else {
-            !shared.settings.first_start || begin + ROSTER_TIME <= now
-        };
-        let unknown = !shared.has_read(subject) && begin + join_time(&shared) + START_TIME <= now;
-        let reads = joined && (unknown || position.reads(shared.known_store_age(now)));
-        if !reads {
+        if !reads(&shared, &peers, subject, begin) {
             after = None;
             if std::mem::take(&mut failing) {
                 shared.note_failure(subject, false);
@@ -137,10 +128,8 @@
         };
         match result {
             Ok(reading) => {
-                if failing {
-                    log::info!(target: "store", "event=regained subject={subject:?}");
-                }
                 if std::mem::take(&mut failing) {
+                    log::info!(target: "store", "event=regained subject={subject:?}");
                     shared.note_failure(subject, false);
                 }
                 pause = FAILURE_PAUSE;
@@ -157,13 +146,11 @@
                 after = None;
             }
             Err(error) => {
-                if !failing {
+                if !std::mem::replace(&mut failing, true) {
                     log::warn!(
                         target: "store",
                         "event=lost subject={subject:?} error=\"{error}\""
                     );
-                }
-                if !std::mem::replace(&mut failing, true) {
                     shared.note_failure(subject, true);
                     peers.announce().await;
                 }
@@ -174,7 +161,21 @@
     }
 }
 
-/// Takes in a reading of the store and passes on what changed.
+/// Whether it is the turn of this entry, started at `begin`, to read the store.
+fn reads(shared: &Shared, peers: &Peers, subject: Subject, begin: Instant) -> bool {
+    let now = Instant::now();
+    let position = position(shared, peers, now);
+    let joined = if position.is_alone() {
+        begin + join_time(shared) <= now
+    } else {
+        !shared.settings.first_start || begin + ROSTER_TIME <= now
+    };
+    let unknown = !shared.has_read(subject) && begin + join_time(shared) + START_TIME <= now;
+    joined && (unknown || position.reads(shared.known_store_age(now)))
+}
+
+/// Takes in a reading of the store and passes on what changed. Returns whether
+/// anything did.
 async fn take(
     shared: &Shared,
     peers: &Peers,
