--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
+use http::StatusCode;
 use http::header::HOST;
 use tokio::time::Instant;
 
@@ -30,8 +31,11 @@
     outcome: &'static str,
 }
 
-/// Attempts of one request.
+/// Attempts of one request. Dropping them before the request is logged states
+/// that its caller has left.
 struct Attempts {
+    call: Arc<Call>,
+    logged: bool,
     running: FuturesUnordered<BoxFuture<'static, Ended>>,
     tried: Vec<Target>,
     /// The same with what they were chosen by, for the log.
@@ -63,14 +67,7 @@
             }
         };
         self.services.count_request(&call.service);
-        let mut attempts = Attempts {
-            running: FuturesUnordered::new(),
-            tried: Vec::new(),
-            choices: Vec::new(),
-            sends: 0,
-            unsent: 0,
-            fallback: None,
-        };
+        let mut attempts = Attempts::new(Arc::clone(&call));
         let run = self.run(&call, &mut attempts);
         let answer = match tokio::time::timeout_at(call.give_up, run).await {
             Ok(Ok(response)) => Answer {
@@ -83,19 +80,7 @@
         };
         self.metrics
             .request(call.service.as_str(), answer.outcome, received.elapsed());
-        log::info!(
-            target: "request",
-            "id={} outcome={} status={} ms={} route={} service={} version={} targets={} sends={}",
-            call.id.as_deref().unwrap_or("-"),
-            answer.outcome,
-            answer.response.status.as_u16(),
-            received.elapsed().as_millis(),
-            call.route.name,
-            call.service,
-            call.version,
-            attempts.choices.join(","),
-            attempts.sends
-        );
+        attempts.log(answer.outcome, Some(answer.response.status));
         let mut response = answer.response;
         response.keep_alive = true;
         self.dialect.strip(&mut response.headers);
@@ -177,7 +162,47 @@
     }
 }
 
+impl Drop for Attempts {
+    fn drop(&mut self) {
+        if !self.logged {
+            self.log("caller-left", None);
+        }
+    }
+}
+
 impl Attempts {
+    fn new(call: Arc<Call>) -> Self {
+        Self {
+            call,
+            logged: false,
+            running: FuturesUnordered::new(),
+            tried: Vec::new(),
+            choices: Vec::new(),
+            sends: 0,
+            unsent: 0,
+            fallback: None,
+        }
+    }
+
+    /// Writes the log line of the request.
+    fn log(&mut self, outcome: &str, status: Option<StatusCode>) {
+        self.logged = true;
+        let call = &self.call;
+        log::info!(
+            target: "request",
+            "id={} outcome={outcome} status={} ms={} route={} service={} version={} targets={} \
+             sends={}",
+            call.id.as_deref().unwrap_or("-"),
+            status.as_ref().map_or("-", StatusCode::as_str),
+            call.received.elapsed().as_millis(),
+            call.route.name,
+            call.service,
+            call.version,
+            self.choices.join(","),
+            self.sends
+        );
+    }
+
     fn start(&mut self, gateway: &Arc<Gateway>, call: &Arc<Call>, placed: crate::place::Placement) {
         self.sends += 1;
         let target = &placed.endpoint.id;
--- a/crates/placement/tests/all/simulation.rs
+++ b/crates/placement/tests/all/simulation.rs
@@ -137,19 +137,21 @@
     machines: &mut [Machine],
     _: Instant,
     random: &mut SmallRng,
-) -> Option<usize> {
+) -> usize {
     let fewest = machines.iter().map(|m| m.ends.len()).min().unwrap();
     let least: Vec<usize> = (0..machines.len())
         .filter(|index| machines[*index].ends.len() == fewest)
         .collect();
-    Some(least[random.random_range(0..least.len())])
+    least[random.random_range(0..least.len())]
 }
 
 /// Guards against a choice that does not know which targets are slow now: even
 /// perfect counts of the requests in flight leave a third of them late.
 #[test]
 fn fresh_reports_answer_more_requests_in_time_than_counts() {
-    let counts = play(USUAL_ARRIVAL_MS, by_least_in_flight);
+    let counts = play(USUAL_ARRIVAL_MS, |pool, machines, now, random| {
+        Some(by_least_in_flight(pool, machines, now, random))
+    });
 
     let reports = play(USUAL_ARRIVAL_MS, by_pool(100.0));
 
