Count the attempts that may run, so that a refused one does not speak for a hedge

Cause: one flag told whether a request may have reached a target; a hedged request of which one attempt was refused was told 503, not run, although the other attempt ran. Only requests that may run more than once were concerned.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -148,12 +148,11 @@
         self.dialect
             .address(&mut headers, call.left(), &endpoint.id);
         let bytes = encode_request(&call.method, &call.target, &headers, &call.body);
-        let was_dispatched = call.is_dispatched();
-        call.set_dispatched();
+        call.begin_dispatch();
         let mut sent = 0;
         let result = connection.exchange(&call.method, &bytes, &mut sent).await;
-        if sent == 0 && !was_dispatched {
-            call.clear_dispatched();
+        if sent == 0 {
+            call.undo_dispatch();
         }
         let response = result?;
         if let Some(load) = self.dialect.load(&response.headers) {
@@ -166,9 +165,7 @@
                 .dialect
                 .is_not_executed(response.status, &response.headers)
         {
-            if !was_dispatched {
-                call.clear_dispatched();
-            }
+            call.undo_dispatch();
             return Ok(Ended::NotExecuted);
         }
         if echoed.is_none() || foreign {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! One request on its way.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,8 +29,8 @@
     pub(crate) received: Instant,
     /// End of the wait: the caller's deadline or the time-out of the route.
     pub(crate) give_up: Instant,
-    /// Whether it may have reached a target that did not refuse it.
-    dispatched: AtomicBool,
+    /// Attempts that may have reached a target which did not refuse them.
+    dispatched: AtomicU32,
 }
 
 impl Call {
@@ -55,7 +55,7 @@
             health_path,
             version,
             received: request.received,
-            dispatched: AtomicBool::new(false),
+            dispatched: AtomicU32::new(0),
         }
     }
 
@@ -72,17 +72,17 @@
         self.received + self.route.target_latency
     }
 
-    /// Notes that bytes of it are about to be sent.
-    pub(crate) fn set_dispatched(&self) {
-        self.dispatched.store(true, Ordering::Release);
+    /// Notes that bytes of an attempt are about to be sent.
+    pub(crate) fn begin_dispatch(&self) {
+        self.dispatched.fetch_add(1, Ordering::AcqRel);
     }
 
-    /// Notes that the only target to which it was sent did not execute it.
-    pub(crate) fn clear_dispatched(&self) {
-        self.dispatched.store(false, Ordering::Release);
+    /// Notes that an attempt was not sent, or that its target did not execute it.
+    pub(crate) fn undo_dispatch(&self) {
+        self.dispatched.fetch_sub(1, Ordering::AcqRel);
     }
 
     pub(crate) fn is_dispatched(&self) -> bool {
-        self.dispatched.load(Ordering::Acquire)
+        self.dispatched.load(Ordering::Acquire) > 0
     }
 }
