--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -20,8 +20,7 @@
 const FAST: f64 = 1.6;
 
 /// Targets that are probed at a time for one request. With a third of the targets
-/// slow, two of them hold a fast one nine times out of ten; a third probe cost more
-/// processor time than it saved.
+/// slow, two of them hold a fast one nine times out of ten.
 const PROBES: usize = 2;
 
 /// Targets that are weighed against each other in full order; several rounds of
