Note unreachable targets in one place, and check a kept connection once

Attempts and probes each logged and recorded an unreachable target; a connection was checked for reuse before Upstreams::put, which checks it again under a stricter margin. The line of a probe now states an error; behaviour is otherwise unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -90,14 +90,7 @@
                 None => match self.upstreams.open(endpoint).await {
                     Ok(connection) => connection,
                     Err(error) => {
-                        log::info!(
-                            target: "target",
-                            "event=unreachable target={} address={} by=request error=\"{error}\"",
-                            endpoint.id, endpoint.address
-                        );
-                        self.services.with_pool(&endpoint.service, |pool, now| {
-                            pool.unreachable(&endpoint.id, now);
-                        });
+                        self.note_unreachable(endpoint, "request", &error);
                         return Ended::NotSent;
                     }
                 },
@@ -109,9 +102,7 @@
             }
             match self.exchange(call, placed, &mut connection).await {
                 Ok(ended) => {
-                    if connection.is_reusable(Duration::ZERO) {
-                        self.upstreams.put(endpoint, connection);
-                    }
+                    self.upstreams.put(endpoint, connection);
                     return ended;
                 }
                 Err(error) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Everything that requests need.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -154,6 +155,18 @@
         self.requests.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Notes that a target can't be reached, and by what this was seen.
+    pub(crate) fn note_unreachable(&self, endpoint: &Endpoint, by: &str, error: &dyn Display) {
+        log::info!(
+            target: "target",
+            "event=unreachable target={} address={} by={by} error=\"{error}\"",
+            endpoint.id, endpoint.address
+        );
+        self.services.with_pool(&endpoint.service, |pool, now| {
+            pool.unreachable(&endpoint.id, now);
+        });
+    }
+
     pub(crate) fn takes(&self, endpoint: &Endpoint) -> bool {
         let takes = self
             .services
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -50,15 +50,8 @@
         match probed {
             Probed::Load => {}
             Probed::Unreachable => {
-                self.services.with_pool(&endpoint.service, |pool, now| {
-                    pool.unreachable(&endpoint.id, now);
-                });
+                self.note_unreachable(endpoint, "probe", &"no answer of this target");
                 self.upstreams.remove(&endpoint.id);
-                log::info!(
-                    target: "target",
-                    "event=unreachable target={} address={} by=probe",
-                    endpoint.id, endpoint.address
-                );
             }
             Probed::Silent | Probed::TimedOut => {
                 log::debug!(
