Look at the abort first when an entry stops at once

Cause: when the process stops at once, the runtime may drop the connection to a target before the one to the caller. The caller's connection polled its exchange before the abort, in random order, and sent what the exchange made of it.

Ruled out: a draw of a short service time (sigma 0.1 of 4 s), a hedge.

The new test of the listener passes with and without the change; it guards the order, it did not reproduce the fault.

--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -258,13 +258,19 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         // An error concerns this caller alone, and its requests were counted.
+        // The abort is looked at first: when the process ends, connections to
+        // targets may go before this one, and what the exchange then makes of
+        // it must not be sent as an answer.
         tokio::select! {
-            _ = connection.as_mut() => return,
+            biased;
+            () = self.abort.cancelled() => return,
             () = self.stop.cancelled() => connection.as_mut().graceful_shutdown(),
+            _ = connection.as_mut() => return,
         }
         tokio::select! {
-            _ = connection => {}
+            biased;
             () = self.abort.cancelled() => {}
+            _ = connection => {}
         }
     }
 }
--- a/crates/proxy/tests/all/stop.rs
+++ b/crates/proxy/tests/all/stop.rs
@@ -1,9 +1,11 @@
 use std::time::Duration;
 
 use carobdrift_test_support::target::{Action, Faults};
+use futures_util::future::join_all;
 use tokio::net::TcpStream;
+use tokio::runtime::{Builder, Runtime};
 
-use crate::fixture::{Entry, client, get, post, send};
+use crate::fixture::{Entry, client, get, post, send, target};
 
 fn late(late_ms: u64) -> Faults {
     Faults {
@@ -86,3 +88,45 @@
     assert_eq!(entry.targets[0].runs().len(), before);
     assert!(entry.targets[0].is_closed());
 }
+
+/// Guards against answers that an entry makes up while its runtime ends: the
+/// connection to a target may go before the one to the caller.
+#[test]
+fn a_stop_at_once_answers_nothing() {
+    const ROUNDS: usize = 20;
+    const REQUESTS: usize = 60;
+    const THREADS: usize = 4;
+    let outside = Runtime::new().expect("threads are available");
+    for round in 0..ROUNDS {
+        let inside = Builder::new_multi_thread()
+            .worker_threads(THREADS)
+            .enable_all()
+            .build()
+            .expect("threads are available");
+        let target = outside.block_on(target(late(5_000)));
+        let entry = inside.block_on(Entry::with_targets(vec![target], |_| {}));
+        let address = entry.address();
+        let callers: Vec<_> = (0..REQUESTS)
+            .map(|number| {
+                let ask = get(&format!("cut-{round}-{number}"));
+                outside.spawn(async move { send(&client(false), &ask, address).await })
+            })
+            .collect();
+        outside.block_on(async { tokio::time::sleep(Duration::from_millis(100)).await });
+        assert_eq!(entry.runs().len(), REQUESTS, "round {round}");
+
+        // Busy threads, as on a loaded machine: the runtime begins to end
+        // before the connections run again.
+        for _ in 0..THREADS {
+            inside.spawn(async { std::thread::sleep(Duration::from_millis(20)) });
+        }
+        std::thread::sleep(Duration::from_millis(5));
+        drop(entry);
+        drop(inside);
+
+        for answer in outside.block_on(join_all(callers)) {
+            let answer = answer.expect("the caller lives");
+            assert!(answer.is_err(), "round {round}: {answer:?}");
+        }
+    }
+}
--- a/tests/all/stop.rs
+++ b/tests/all/stop.rs
@@ -86,17 +86,28 @@
     installation.judge(SERVICE, &records).await;
 }
 
+/// Requests in progress at a stop at once. While the runtime of the entry ends,
+/// some of them see their connection to the target go first.
+const IN_PROGRESS: usize = 150;
+
+/// Guards against a stop that does not end, and against answers that a stop at
+/// once makes up for requests whose targets are at work.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_second_sigterm_stops_at_once() {
     let mut installation = Installation::start().await;
     installation.serve(SLOW, 3, 4000.0).await;
     let caller = installation.caller_of(0);
-    let call = Call {
-        service: SLOW.to_owned(),
-        ..view(&caller)
-    };
     let address = installation.fleet.entries[0].caller;
-    let request = tokio::spawn(async move { caller.send_to(address, &call).await });
+    let requests: Vec<_> = (0..IN_PROGRESS)
+        .map(|_| {
+            let caller = caller.clone();
+            let call = Call {
+                service: SLOW.to_owned(),
+                ..view(&caller)
+            };
+            tokio::spawn(async move { caller.send_to(address, &call).await })
+        })
+        .collect();
     tokio::time::sleep(Duration::from_millis(200)).await;
 
     let process = &mut installation.fleet.entries[0].process;
@@ -107,5 +118,8 @@
 
     let status = status.expect("the entry stops at once").unwrap();
     assert_eq!(status.code(), Some(130));
-    assert!(request.await.unwrap().is_err());
+    let answers = join_all(requests).await;
+    for answer in answers.into_iter().map(Result::unwrap) {
+        assert!(answer.is_err(), "{answer:?}");
+    }
 }
