Call the platform's store through one client

The product had two clients and two table models: crates/platform spoke a protocol of its own to a stand-in of its own, and the adapter spoke the users' store. Now carobdrift_platform::Client keeps the decisions (timeouts, repeats, what is unknown) and calls a Backend; the adapter implements it over the one client of the store that carobdrift entry uses. The two stand-ins are one, platform/stand-in, which speaks the users' pages: conditions, feeds, pages, objects, limits of keys and values.

A row's version is now the version of the store that wrote it. The version of a document was the number of writes of its row; it is now kept in the row.

--- a/crates/catalog/src/edit.rs
+++ b/crates/catalog/src/edit.rs
@@ -75,6 +75,9 @@
 
 /// What the transaction of an edit is based on.
 struct Ready {
+    /// Version of the document's row in the platform's table; 0 without a row.
+    row_version: u64,
+    /// The same of the change log.
     log_version: u64,
     log: ChangeLog,
     /// The document that the edit replaces.
@@ -227,6 +230,7 @@
         }
         let mut replaced = None;
         let mut current = Version::NONE;
+        let row_version = document.as_ref().map_or(0, |row| row.version);
         if let Some(row) = document {
             let (version, body, document) = read_document(&row);
             current = version;
@@ -247,6 +251,7 @@
         }
         if current == self.edit.expected {
             Ok(Stage::Ready(Ready {
+                row_version,
                 log_version,
                 log,
                 replaced,
@@ -291,7 +296,8 @@
             version,
             revision: log.revision,
         };
-        let transaction = self.transaction(shared, ready.log_version, &log, &outcome)?;
+        let versions = (ready.row_version, ready.log_version);
+        let transaction = self.transaction(shared, versions, &log, &outcome)?;
         shared.client.transact(&transaction).await?;
         if let Some(replaced) = ready.replaced {
             keep(shared, replaced);
@@ -302,11 +308,12 @@
     fn transaction(
         &self,
         shared: &Shared,
-        log_version: u64,
+        (row_version, log_version): (u64, u64),
         log: &ChangeLog,
         outcome: &Outcome,
     ) -> Result<Transaction, Error> {
         let document = DocumentRow {
+            version: outcome.version,
             body: self.body.to_owned(),
             edit: self.edit.id.clone(),
             team: outcome.team.clone(),
@@ -319,7 +326,7 @@
             transaction: self.transaction.clone(),
         };
         let keys = [
-            (document_key(self.service), self.edit.expected.0),
+            (document_key(self.service), row_version),
             (log_key(&shared.cell), log_version),
             (edit_key(&self.edit.id), 0),
         ];
--- a/crates/catalog/src/store.rs
+++ b/crates/catalog/src/store.rs
@@ -24,10 +24,11 @@
     },
 }
 
-/// Value of `documents/{service}`; the version of the row is the version of the
-/// document.
+/// Value of `documents/{service}`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct DocumentRow {
+    /// Number of edits of the document that were accepted.
+    pub(crate) version: Version,
     /// The document as it was accepted. Text, so that an entry of an older
     /// build passes it on unchanged.
     pub(crate) body: String,
@@ -132,11 +133,15 @@
 pub(crate) fn read_document(
     row: &Row,
 ) -> (Version, String, Result<DocumentRow, serde_json::Error>) {
-    let version = Version(row.version);
     match DocumentRow::deserialize(&row.value) {
-        Ok(document) => (version, document.body.clone(), Ok(document)),
+        Ok(document) => (document.version, document.body.clone(), Ok(document)),
         // Kept as a body that can't be parsed, so that the version is known.
-        Err(error) => (version, row.value.to_string(), Err(error)),
+        // Every format states it; a row without one comes from another writer
+        // and is older than all documents.
+        Err(error) => {
+            let version = Version::deserialize(&row.value["version"]).unwrap_or(Version::NONE);
+            (version, row.value.to_string(), Err(error))
+        }
     }
 }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -13,7 +13,7 @@
 use carobdrift_idempotency::{Claims, Ledger};
 use carobdrift_measure::{Leases, Prober};
 use carobdrift_membership::Links;
-use carobdrift_platform::Client;
+use carobdrift_platform::{Backend, Client};
 use carobdrift_proxy::{Listener, Services};
 use carobdrift_units::{Incarnation, Team};
 use prometheus::Registry;
@@ -59,15 +59,15 @@
 }
 
 impl Entry {
-    /// Starts all parts of an entry.
+    /// Starts all parts of an entry over a platform.
     ///
     /// # Errors
     ///
     /// Fails when an address can't be listened on.
-    pub async fn spawn(settings: Settings) -> Result<Self, Error> {
+    pub async fn spawn(settings: Settings, platform: Arc<dyn Backend>) -> Result<Self, Error> {
         let registry = Registry::new();
         registry.register(Box::new(ProcessCollector::for_self()))?;
-        let client = open_client(&settings, &registry)?;
+        let client = open_client(&settings, platform, &registry)?;
         let incarnation = Incarnation::draw();
 
         // The links introduce this entry with the addresses of its other
@@ -212,11 +212,12 @@
     Arc::new(move |service| services.pool(service))
 }
 
-fn open_client(settings: &Settings, registry: &Registry) -> Result<Client, Error> {
-    let client = Client::open(carobdrift_platform::Settings {
-        address: settings.platform.address,
-        timeout: settings.platform.timeout_ms.duration(),
-    });
+fn open_client(
+    settings: &Settings,
+    platform: Arc<dyn Backend>,
+    registry: &Registry,
+) -> Result<Client, Error> {
+    let client = Client::open(platform, settings.platform.timeout_ms.duration());
     Ok(client.with_metrics(carobdrift_platform::Metrics::register(registry)?))
 }
 
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use carobdrift_peers::{Event, News, Peers, Row, Rows, fetch};
+use carobdrift_platform::Cause;
 use carobdrift_routing::State;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::node::Shared;
 use crate::reader::Position;
-use crate::store::{Item, Reading, StoreError, Subject};
+use crate::store::{Item, Reading, Subject};
 
 /// Time for which the store is asked to wait for a change. A connection that
 /// went silent is noticed after this time.
@@ -96,7 +97,7 @@
             }
         }
         if !registered && peers.is_hub() {
-            match shared.store.register().await {
+            match shared.store.register(shared.settings.peer.ip()).await {
                 Ok(()) => registered = true,
                 Err(error) => {
                     log::warn!(target: "store", "event=register-failed error=\"{error}\"");
@@ -141,7 +142,7 @@
                     tokio::time::sleep(CHANGE_PAUSE).await;
                 }
             }
-            Err(StoreError::Compacted) => {
+            Err(Cause::Compacted) => {
                 log::info!(target: "store", "event=compacted subject={subject:?}");
                 after = None;
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,4 +19,4 @@
 pub use logging::{LogError, set_up_logging};
 pub use node::{Error, Node};
 pub use settings::Settings;
-pub use store::{Item, Pending, Reading, Record, Store, StoreError, Subject};
+pub use store::{Item, Reading, Record, Store, Subject};
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -2,16 +2,12 @@
 
 use std::fmt;
 use std::net::IpAddr;
-use std::pin::Pin;
 use std::time::Duration;
 
 use carobdrift_placement::Endpoint;
+use carobdrift_platform::Pending;
 use carobdrift_routing::State;
 use carobdrift_units::Target;
-use thiserror::Error;
-
-/// A call of the store.
-pub type Pending<T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send>>;
 
 /// The platform's store.
 pub trait Store: fmt::Debug + Send + Sync {
@@ -21,8 +17,8 @@
     /// Waits for changes of a subject after a revision, for at most `wait`.
     fn follow(&self, subject: Subject, after: u64, wait: Duration) -> Pending<Reading>;
 
-    /// Registers this entry, so that others find it.
-    fn register(&self) -> Pending<()>;
+    /// Registers the entry at an address, so that others find it.
+    fn register(&self, entry: IpAddr) -> Pending<()>;
 }
 
 /// A part of the store.
@@ -66,23 +62,3 @@
     /// A registered entry.
     Entry(IpAddr),
 }
-
-/// Why a call of the store has no result.
-#[derive(Debug, Error)]
-pub enum StoreError {
-    /// The changes after the revision are no longer kept.
-    #[error("the history is no longer kept")]
-    Compacted,
-    /// The rate of calls is exceeded.
-    #[error("the store is busy")]
-    Busy,
-    /// The store is unavailable; nothing was done.
-    #[error("the store is unavailable (status {0})")]
-    Unavailable(u16),
-    /// The store can't be reached, or its answer is lost.
-    #[error("no answer of the store: {0}")]
-    Lost(String),
-    /// The answer can't be read.
-    #[error("the answer of the store can't be read: {0}")]
-    Malformed(String),
-}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,66 +1,44 @@
 //! The client and its calls.
 
-use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
+use rand::RngExt;
 use tokio::time::Instant;
 
+use crate::backend::{Backend, Pending, Range};
 use crate::error::{Cause, Error};
 use crate::instance::Listed;
 use crate::metrics::{Call, Metrics};
-use crate::table::{Commit, Conflict, Row, Transaction};
-use crate::transport::Transport;
+use crate::table::{Commit, Row, Transaction};
 
-/// Characters that are escaped in a key or name within a path.
-const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC
-    .remove(b'/')
-    .remove(b'-')
-    .remove(b'.')
-    .remove(b'_')
-    .remove(b'~');
+/// Attempts of a call that is safe to repeat, the first included.
+const ATTEMPTS: u32 = 3;
 
-/// How to reach the platform.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// Address of the platform's HTTP service.
-    pub address: SocketAddr,
-    /// Time within which a call must be answered, its repeats included.
-    pub timeout: Duration,
-}
+/// Longest pause before the first repeat; doubles with each further one.
+const BACKOFF: Duration = Duration::from_millis(20);
+
+/// Status of a platform that is unavailable; nothing was done.
+const UNAVAILABLE: u16 = 503;
 
 /// Client of the platform; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct Client {
-    transport: Transport,
+    backend: Arc<dyn Backend>,
+    /// Time within which a call must be answered, its repeats included.
+    timeout: Duration,
     metrics: Option<Metrics>,
 }
 
-#[derive(Deserialize)]
-struct Rows {
-    rows: Vec<Row>,
-}
-
-#[derive(Deserialize)]
-struct Instances {
-    instances: Vec<Listed>,
-}
-
-#[derive(Deserialize)]
-struct Conflicts {
-    conflicts: Vec<Conflict>,
-}
-
 impl Client {
-    /// Opens a client; connections are opened on demand.
+    /// Opens a client whose calls are answered within `timeout`, their repeats
+    /// included, or fail.
     #[must_use]
-    pub fn open(settings: Settings) -> Self {
+    pub fn open(backend: Arc<dyn Backend>, timeout: Duration) -> Self {
         Self {
-            transport: Transport::open(settings),
+            backend,
+            timeout,
             metrics: None,
         }
     }
@@ -80,15 +58,9 @@
     ///
     /// Fails when the platform can't be reached or misbehaves.
     pub async fn read(&self, key: &str) -> Result<Option<Row>, Error> {
-        let path = format!("/table/rows/{}", escape(key));
-        self.observe(Call::Read, async {
-            match self.get(&path).await? {
-                (StatusCode::OK, body) => parse(&body).map(Some),
-                (StatusCode::NOT_FOUND, _) => Ok(None),
-                (other, _) => Err(unexpected(other)),
-            }
-        })
-        .await
+        let range = Range::of_key(key);
+        let rows = self.repeat(Call::Read, || self.backend.rows(range.clone()));
+        Ok(rows.await?.into_iter().next())
     }
 
     /// Reads at most `limit` rows whose keys start with `prefix` and follow
@@ -99,18 +71,9 @@
     ///
     /// Fails when the platform can't be reached or misbehaves.
     pub async fn scan(&self, prefix: &str, after: &str, limit: u32) -> Result<Vec<Row>, Error> {
-        let path = format!(
-            "/table/scan?prefix={}&after={}&limit={limit}",
-            escape(prefix),
-            escape(after)
-        );
-        self.observe(Call::Scan, async {
-            match self.get(&path).await? {
-                (StatusCode::OK, body) => parse::<Rows>(&body).map(|answer| answer.rows),
-                (other, _) => Err(unexpected(other)),
-            }
-        })
-        .await
+        let range = Range::of_prefix(prefix, after, limit);
+        let rows = self.repeat(Call::Scan, || self.backend.rows(range.clone()));
+        rows.await
     }
 
     /// Runs a transaction. It is sent once only.
@@ -120,20 +83,9 @@
     /// [`Error::Conflict`] when a condition did not hold, [`Error::Unknown`]
     /// when it may have taken effect; otherwise it did not.
     pub async fn transact(&self, transaction: &Transaction) -> Result<Commit, Error> {
-        let body = serde_json::to_vec(transaction)
-            .map_err(|error| Error::Protocol(Cause::Malformed(error)))?;
+        let call = self.backend.transact(transaction.clone());
         self.observe(Call::Transact, async {
-            let (status, body) = self
-                .write(Method::POST, "/table/transact", body.into())
-                .await?;
-            match status {
-                // The status says that it took effect, so a body that can't be
-                // read must not look like a refusal.
-                StatusCode::OK => serde_json::from_slice(&body)
-                    .map_err(|error| Error::Unknown(Cause::Malformed(error))),
-                StatusCode::CONFLICT => Err(Error::Conflict(parse::<Conflicts>(&body)?.conflicts)),
-                other => Err(refused(other)),
-            }
+            self.once(call).await?.map_err(Error::Conflict)
         })
         .await
     }
@@ -144,14 +96,8 @@
     ///
     /// [`Error::Unknown`] when it may have taken effect; otherwise it did not.
     pub async fn put_object(&self, name: &str, body: Bytes) -> Result<(), Error> {
-        let path = format!("/objects/{}", escape(name));
-        self.observe(Call::PutObject, async {
-            match self.write(Method::PUT, &path, body).await?.0 {
-                StatusCode::OK | StatusCode::CREATED | StatusCode::NO_CONTENT => Ok(()),
-                other => Err(refused(other)),
-            }
-        })
-        .await
+        let call = self.backend.put_object(name.to_owned(), body);
+        self.observe(Call::PutObject, self.once(call)).await
     }
 
     /// Reads a whole object; `None` when it is absent.
@@ -160,15 +106,8 @@
     ///
     /// Fails when the platform can't be reached or misbehaves.
     pub async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Error> {
-        let path = format!("/objects/{}", escape(name));
-        self.observe(Call::GetObject, async {
-            match self.get(&path).await? {
-                (StatusCode::OK, body) => Ok(Some(body)),
-                (StatusCode::NOT_FOUND, _) => Ok(None),
-                (other, _) => Err(unexpected(other)),
-            }
-        })
-        .await
+        self.repeat(Call::GetObject, || self.backend.get_object(name.to_owned()))
+            .await
     }
 
     /// Reads the instance list, which may lag.
@@ -177,28 +116,42 @@
     ///
     /// Fails when the platform can't be reached or misbehaves.
     pub async fn instances(&self) -> Result<Vec<Listed>, Error> {
-        self.observe(Call::Instances, async {
-            match self.get("/instances").await? {
-                (StatusCode::OK, body) => parse::<Instances>(&body).map(|answer| answer.instances),
-                (other, _) => Err(unexpected(other)),
+        self.repeat(Call::Instances, || self.backend.instances())
+            .await
+    }
+
+    /// Makes a call that is safe to repeat, at most [`ATTEMPTS`] times within
+    /// the timeout. An attempt is repeated when its connection failed or the
+    /// platform answered with a server error.
+    async fn repeat<T>(&self, call: Call, attempt: impl Fn() -> Pending<T>) -> Result<T, Error> {
+        let deadline = Instant::now() + self.timeout;
+        self.observe(call, async {
+            let mut backoff = BACKOFF;
+            for _ in 1..ATTEMPTS {
+                match self.within(deadline, attempt()).await {
+                    Err(Cause::Unreachable(_) | Cause::Lost(_) | Cause::Status(500..)) => {}
+                    answer => return answer.map_err(read_failure),
+                }
+                let pause = rand::rng().random_range(Duration::ZERO..backoff);
+                tokio::time::sleep(pause).await;
+                backoff *= 2;
             }
+            let last = self.within(deadline, attempt()).await;
+            last.map_err(read_failure)
         })
         .await
     }
 
-    async fn get(&self, path: &str) -> Result<(StatusCode, Bytes), Error> {
-        let answer = self.transport.repeat(Method::GET, path).await;
-        answer.map_err(Error::Unavailable)
+    /// Makes a call that must not be repeated.
+    async fn once<T>(&self, call: Pending<T>) -> Result<T, Error> {
+        let deadline = Instant::now() + self.timeout;
+        self.within(deadline, call).await.map_err(write_failure)
     }
 
-    async fn write(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<(StatusCode, Bytes), Error> {
-        let answer = self.transport.send(method, path, body).await;
-        answer.map_err(unknown_once_sent)
+    async fn within<T>(&self, deadline: Instant, call: Pending<T>) -> Result<T, Cause> {
+        tokio::time::timeout_at(deadline, call)
+            .await
+            .unwrap_or_else(|_| Err(Cause::TimedOut(self.timeout.as_millis())))
     }
 
     async fn observe<T>(
@@ -218,41 +171,25 @@
     }
 }
 
-fn escape(text: &str) -> String {
-    utf8_percent_encode(text, ESCAPED).to_string()
-}
-
-fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
-    serde_json::from_slice(body).map_err(|error| Error::Protocol(Cause::Malformed(error)))
-}
-
-/// Failure of a read that was answered with this status.
-fn unexpected(status: StatusCode) -> Error {
-    let cause = Cause::Status(status.as_u16());
-    if status.is_server_error() {
-        Error::Unavailable(cause)
-    } else {
-        Error::Protocol(cause)
+fn read_failure(cause: Cause) -> Error {
+    match cause {
+        Cause::Unreachable(_)
+        | Cause::Lost(_)
+        | Cause::TimedOut(_)
+        | Cause::Busy
+        | Cause::Status(500..) => Error::Unavailable(cause),
+        _ => Error::Protocol(cause),
     }
 }
 
-/// Failure of a write that was answered with this status. Only 503 and the
-/// client errors say that nothing was written.
-fn refused(status: StatusCode) -> Error {
-    let cause = Cause::Status(status.as_u16());
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        Error::Unavailable(cause)
-    } else if status.is_client_error() {
-        Error::Protocol(cause)
-    } else {
-        Error::Unknown(cause)
-    }
-}
-
-fn unknown_once_sent(cause: Cause) -> Error {
-    match &cause {
-        Cause::Connection(error) if error.is_connect() => Error::Unavailable(cause),
-        Cause::Request(_) => Error::Protocol(cause),
+/// Failure of a write. Only 503, 429 and the client errors say that nothing was
+/// written.
+fn write_failure(cause: Cause) -> Error {
+    match cause {
+        Cause::Unreachable(_) | Cause::Busy | Cause::Status(UNAVAILABLE) => {
+            Error::Unavailable(cause)
+        }
+        Cause::Invalid(_) | Cause::Status(400..=499) => Error::Protocol(cause),
         _ => Error::Unknown(cause),
     }
 }
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -25,22 +25,35 @@
 /// What made a call fail.
 #[derive(Debug, Error)]
 pub enum Cause {
-    /// The connection could not be opened or broke.
-    #[error("connection failed: {0}")]
-    Connection(#[from] hyper_util::client::legacy::Error),
-    /// The response broke off.
-    #[error("response broke off: {0}")]
-    Body(#[from] hyper::Error),
+    /// The connection could not be opened; nothing was sent.
+    #[error("the platform can't be reached: {0}")]
+    Unreachable(String),
+    /// The connection broke before the whole response arrived.
+    #[error("no response: {0}")]
+    Lost(String),
     /// No response within the timeout.
     #[error("no response within {0} ms")]
     TimedOut(u128),
-    /// The status is not one that the protocol defines for the call.
+    /// The platform is unavailable, or the status is not one that its protocol
+    /// defines for the call.
     #[error("status {0}")]
     Status(u16),
-    /// The body is not the expected JSON.
-    #[error("malformed body: {0}")]
-    Malformed(#[from] serde_json::Error),
-    /// The request could not be built from the given key or name.
-    #[error("malformed request: {0}")]
-    Request(#[from] http::Error),
+    /// The rate of calls is exceeded; nothing was done.
+    #[error("the rate of calls is exceeded")]
+    Busy,
+    /// The changes after the revision are no longer kept.
+    #[error("the history is no longer kept")]
+    Compacted,
+    /// The response can't be read.
+    #[error("malformed response: {0}")]
+    Malformed(String),
+    /// The call can't be made in this form; nothing was sent.
+    #[error("invalid call: {0}")]
+    Invalid(String),
+}
+
+impl From<serde_json::Error> for Cause {
+    fn from(error: serde_json::Error) -> Self {
+        Self::Malformed(error.to_string())
+    }
 }
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -10,7 +10,7 @@
 pub struct Row {
     /// Key; may contain `/`.
     pub key: String,
-    /// Number of writes that the row has had.
+    /// Revision of the platform that wrote it; grows with each write.
     pub version: u64,
     /// Value.
     pub value: Value,
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,7 +5,8 @@
 pub mod caller;
 pub mod fleet;
 pub mod load;
-pub mod platform;
 pub mod process;
 pub mod relay;
 pub mod target;
+
+pub use carobdrift_platform_stand_in as platform;
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -77,7 +77,7 @@
     let reload = signal(SignalKind::hangup()).wrap_err("can't listen for SIGHUP")?;
     let directory = bind(settings.directory).await?;
     let ready = bind(settings.ready).await?;
-    let store = Client::open(settings.store, settings.node.peer.ip());
+    let store = Client::open(settings.store);
     let node = Node::spawn(settings.node, Arc::new(Headers), Arc::new(store))
         .await
         .wrap_err("the entry could not start")?;
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,6 +1,7 @@
 //! `carobdrift serve`.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use carobdrift_entry::{Addresses, Arguments, Entry, Settings, set_up_logging};
 use carobdrift_units::Instance;
@@ -68,7 +69,8 @@
 async fn serve(settings: Settings) -> eyre::Result<ExitCode> {
     let mut signals = Signals::listen()?;
     let instance = settings.instance.clone();
-    let entry = Entry::spawn(settings)
+    let platform = carobdrift_adapter::Client::open(settings.platform.address);
+    let entry = Entry::spawn(settings, Arc::new(platform))
         .await
         .wrap_err("the entry could not start")?;
     let started = Started {
