Keep the rows of claims within the platform's 200 bytes

An idempotency key has up to 256 bytes, and the users' store takes keys of 200: a claim of a long key was refused as if the store were away. Long keys are shortened to their head and a hash. The new test failed before (StoreUnavailable).

--- a/crates/idempotency/src/table.rs
+++ b/crates/idempotency/src/table.rs
@@ -7,6 +7,7 @@
 use carobdrift_units::Service;
 use carobdrift_wire::{Attempt, Decision, Fingerprint, Key, Recorded};
 use log::warn;
+use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -20,6 +21,10 @@
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// Characters of a long idempotency key that its row's key holds. With a
+/// service's name and a hash the row's key stays within the platform's 200 bytes.
+const LONG_KEY_HEAD: usize = 100;
+
 #[derive(Debug)]
 pub(crate) struct Table {
     platform: Client,
@@ -67,7 +72,7 @@
         if !self.writes.take() {
             return Err(Refusal::RateLimited);
         }
-        let row = format!("claims/{service}/{key}");
+        let row = row_key(service, key);
         let value = Value {
             attempt: text(attempt),
             fingerprint: fingerprint.0,
@@ -154,6 +159,21 @@
     }
 }
 
+/// Key of the row of a claim. Two long keys share a row only if their heads and
+/// their hashes are equal; the second one is then refused, never run twice.
+fn row_key(service: &Service, key: &Key) -> String {
+    let text = key.as_str();
+    match text.get(..LONG_KEY_HEAD) {
+        Some(head) if text.len() > LONG_KEY_HEAD => {
+            format!(
+                "claims/{service}/{head}/{:016x}",
+                rapidhash_v3(text.as_bytes())
+            )
+        }
+        _ => format!("claims/{service}/{text}"),
+    }
+}
+
 fn transaction(row: &str, version: u64, value: Option<&Value>) -> Result<Transaction, Refusal> {
     let key = row.to_owned();
     let condition = Condition {
--- a/crates/idempotency/tests/all/table.rs
+++ b/crates/idempotency/tests/all/table.rs
@@ -56,6 +56,29 @@
     assert_eq!(reason(other), "granted");
 }
 
+/// Guards against long keys that the platform refuses, and that are taken for
+/// each other.
+#[tokio::test]
+async fn long_keys_are_claimed_apart() {
+    let platform = platform().await;
+    let claims = entry(&platform, 100);
+    let long = |end: char| -> Key { format!("{}{end}", "k".repeat(255)).parse().expect("valid") };
+
+    let first = claims
+        .claim(call(&long('a'), Scheme::Caller, PATIENCE))
+        .await;
+    let other = claims
+        .claim(call(&long('b'), Scheme::Caller, PATIENCE))
+        .await;
+    first.expect("it is new").dispatch();
+    let again = claims
+        .claim(call(&long('a'), Scheme::Caller, PATIENCE))
+        .await;
+
+    assert_eq!(reason(other), "granted");
+    assert_eq!(reason(again), "in-progress");
+}
+
 /// Guards against a key that is lost or run twice when the table's answers are
 /// lost, it is down, or writes exceed the rate.
 #[tokio::test]
