Take a good target that was probed, also where stale ones cost less

Cause: the choice looked only at the cheapest target. With equal speeds the cheapest one is a matter of chance; when it had an old report, the request probed on, and once no target was left to probe it was held for a look interval of 15 ms, although a target that it had probed was good.

Now a good target that was probed is taken within a margin that covers another zone, and does not cover a target on trial.

--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -51,6 +51,11 @@
 /// the targets that it knows while these are enough.
 const UNKNOWN_COST: f64 = 0.5;
 
+/// Cost by which a good target that was probed may exceed the cheapest one, as a
+/// part of the usual time of a request: above that of another availability zone,
+/// far below that of a target on trial.
+const PROBED_MARGIN: f64 = 0.5;
+
 /// Age from which a report does not show that a connection is open.
 const FORGOTTEN: Duration = Duration::from_secs(8);
 
@@ -176,6 +181,14 @@
         if self.is_good(best, now) {
             return Choice::Send(best.endpoint.clone());
         }
+        // What the request was probed for counts, also where a target whose
+        // report is old is expected to be as fast.
+        if !demand.probed.is_empty()
+            && let Some((cost, good)) = ranked.iter().find(|(_, node)| self.is_good(node, now))
+            && *cost <= ranked[0].0 + PROBED_MARGIN
+        {
+            return Choice::Send(good.endpoint.clone());
+        }
         if demand.urgent {
             let (cost, best) = &ranked[0];
             return if *cost <= demand.max_cost {
--- a/crates/placement/tests/all/pool.rs
+++ b/crates/placement/tests/all/pool.rs
@@ -41,6 +41,34 @@
     assert_eq!(probed(choice).len(), 2);
 }
 
+/// Guards against further probes, and against a request that is held, while a
+/// target that was probed for it is good: targets whose reports are old may cost
+/// less by chance.
+#[test]
+fn a_good_target_is_taken_after_a_probe() {
+    let start = Instant::now();
+    let mut pool = pool(&["a", "b", "c", "d"], start);
+    // All have stated the same speed for long, so that it is also the mean.
+    for _ in 0..1000 {
+        for name in ["a", "b", "c", "d"] {
+            pool.report(&target(name), load(0, 1.0), start);
+        }
+    }
+    let now = start + Duration::from_millis(100);
+    pool.report(&target("a"), load(0, 1.0), now);
+    let asked = [target("a"), target("b")];
+
+    for _ in 0..100 {
+        let demand = Demand {
+            probed: &asked,
+            ..demand()
+        };
+        let choice = pool.choose(demand, now);
+
+        assert_eq!(sent(choice).as_deref(), Some("a"));
+    }
+}
+
 /// Guards against a choice of a slow target while a fast one is known.
 #[test]
 fn a_fast_target_with_a_fresh_report_is_chosen() {
