--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -1,5 +1,6 @@
 //! Choice of the entries that callers should use.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use carobdrift_routing::Table;
@@ -77,10 +78,11 @@
         })
         .collect();
     let order = rank(key, named.iter().map(|(name, _)| name));
+    let entries: HashMap<&Instance, &Ready> =
+        named.iter().map(|(name, entry)| (name, *entry)).collect();
     let mut ranked: Vec<&Ready> = order
         .into_iter()
-        .filter_map(|name| named.iter().find(|(other, _)| other == name))
-        .map(|(_, entry)| *entry)
+        .filter_map(|name| entries.get(name).copied())
         .collect();
     ranked.sort_by_key(|entry| std::cmp::Reverse(entry.capacity));
     ranked
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_peers::{Event, News, Peers, Row, Rows, fetch};
+use carobdrift_peers::{Event, Known, News, Peers, Row, Rows, fetch};
 use carobdrift_platform::Cause;
 use carobdrift_routing::State;
 use tokio::sync::mpsc;
@@ -293,17 +293,25 @@
     }
     let mut announces = false;
     if is_newer(&shared, news) {
-        let known = shared.gateway.version();
+        let known = {
+            let knowledge = shared.knowledge();
+            Known {
+                state: shared.gateway.version(),
+                targets: knowledge.is_complete().then(|| knowledge.revision()),
+            }
+        };
         match fetch(peers.snapshot_address(from), known).await {
             Ok(snapshot) => {
                 if let Some(state) = snapshot.state {
                     announces = put_state(&shared, state, "peer");
                 }
-                let changed =
-                    shared
-                        .knowledge()
-                        .adopt(snapshot.targets, snapshot.revision, Instant::now());
-                apply(&shared, &changed, "peer");
+                if let Some(targets) = snapshot.targets {
+                    let changed =
+                        shared
+                            .knowledge()
+                            .adopt(targets.rows, targets.revision, Instant::now());
+                    apply(&shared, &changed, "peer");
+                }
             }
             Err(error) => {
                 log::warn!(target: "peers", "event=fetch-failed peer={from} error=\"{error}\"");
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use carobdrift_gateway::{Dialect, Gateway, Listener, Metrics, Suspension};
-use carobdrift_peers::{Beat, News, Peers, Phase, Snapshot, StoreLink};
+use carobdrift_peers::{Beat, Known, News, Peers, Phase, Snapshot, StoreLink, Targets};
 use carobdrift_units::{Version, Zone};
 use prometheus::Registry;
 use thiserror::Error;
@@ -285,7 +285,6 @@
     }
 
     fn beat(&self, sequence: u32) -> Beat {
-        let age = self.known_store_age(Instant::now()).as_millis();
         let fails = {
             let answers = self.answers();
             answers.state_fails || answers.targets_fail
@@ -302,25 +301,33 @@
             } else {
                 StoreLink::Good
             },
-            news: News {
-                state: self.gateway.version(),
-                targets: self.knowledge().revision(),
-                store_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            },
+            news: self.news(),
+        }
+    }
+
+    fn news(&self) -> News {
+        let age = self.known_store_age(Instant::now()).as_millis();
+        News {
+            state: self.gateway.version(),
+            targets: self.knowledge().revision(),
+            store_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         }
     }
 
-    fn snapshot(&self, known: Version) -> Snapshot {
+    /// What another entry lacks.
+    fn snapshot(&self, known: Known) -> Snapshot {
         let table = self.gateway.table();
         let state = table
             .map(|table| table.state().clone())
-            .filter(|state| state.version > known);
+            .filter(|state| state.version > known.state);
         let knowledge = self.knowledge();
-        Snapshot {
-            state,
-            revision: knowledge.revision(),
-            targets: knowledge.rows(),
-        }
+        let revision = knowledge.revision();
+        let targets =
+            (knowledge.is_complete() && known.targets < Some(revision)).then(|| Targets {
+                revision,
+                rows: knowledge.rows(),
+            });
+        Snapshot { state, targets }
     }
 }
 
@@ -331,13 +338,16 @@
     let settings = carobdrift_peers::Settings {
         address,
         zone: shared.settings.zone.clone(),
+        started: shared.started,
     };
     let stating = Arc::clone(shared);
+    let telling = Arc::clone(shared);
     let source = Arc::clone(shared);
     Peers::bind(
         settings,
         Box::new(move |sequence| stating.beat(sequence)),
-        Arc::new(move |known| source.snapshot(known)),
+        Box::new(move || telling.news()),
+        Box::new(move |known| source.snapshot(known)),
     )
     .await
     .map_err(|cause| Error::Listen { address, cause })
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -1,5 +1,6 @@
 //! Which entries read the store.
 
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -42,24 +43,28 @@
     /// ranked by their place in their zone first, so that the first ones are in
     /// different zones.
     pub(crate) fn of(own: IpAddr, zone: &Zone, roster: &Roster, now: Instant) -> Self {
-        let alive = || {
-            let peers = roster.alive(now);
-            peers.filter(|(_, peer)| peer.phase != Phase::Leaving)
-        };
-        let place = |zone: &Zone, address: IpAddr| {
-            let before = alive().filter(|(other, peer)| peer.zone == *zone && *other < address);
-            before.count()
-        };
-        let own_key = (place(zone, own), zone, own);
-        let (mut rank, mut failing) = (0, 0);
-        for (address, peer) in alive() {
-            let mut before = place(&peer.zone, address);
-            if peer.zone == *zone && own < address {
-                before += 1;
+        let mut zones: BTreeMap<&Zone, Vec<(IpAddr, StoreLink)>> = BTreeMap::new();
+        zones.entry(zone).or_default().push((own, StoreLink::Good));
+        for (address, peer) in roster.alive(now) {
+            if peer.phase != Phase::Leaving {
+                zones
+                    .entry(&peer.zone)
+                    .or_default()
+                    .push((address, peer.store));
             }
-            if (before, &peer.zone, address) < own_key {
+        }
+        for entries in zones.values_mut() {
+            entries.sort_unstable_by_key(|(address, _)| *address);
+        }
+        let own_place = zones[zone].partition_point(|(address, _)| *address < own);
+        let (mut rank, mut failing) = (0, 0);
+        for (other, entries) in &zones {
+            // Before this entry come all of a lower place, and those of the same
+            // place in zones that come first.
+            let count = own_place + usize::from(*other < zone);
+            for (_, store) in entries.iter().take(count) {
                 rank += 1;
-                failing += usize::from(peer.store == StoreLink::Failing);
+                failing += usize::from(*store == StoreLink::Failing);
             }
         }
         Self {
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -18,6 +18,8 @@
     Digest(Digest),
     /// Changes of targets.
     Rows(Rows),
+    /// Asks a hub to state all entries of its zone one by one.
+    Ask,
 }
 
 /// Whether an entry takes callers.
@@ -77,11 +79,23 @@
 /// What a hub knows of the entries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Digest {
+    /// Entries that are stated one by one.
     pub(crate) members: Vec<Member>,
+    /// The other entries of the hub's zone, where the digest vouches for them.
+    pub(crate) rest: Option<Rest>,
     /// What the hub knows.
     pub(crate) news: News,
 }
 
+/// Entries of a zone that a digest does not state one by one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Rest {
+    /// Combined fingerprint of their addresses and processes.
+    pub(crate) fingerprint: u64,
+    /// Age of the oldest of their last words, in milliseconds.
+    pub(crate) oldest_ms: u32,
+}
+
 /// One entry in a digest.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Member {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -8,6 +8,7 @@
 //! from it. Whatever a lost datagram left out is fetched as a [`Snapshot`].
 
 mod datagram;
+mod digest;
 mod peers;
 mod roster;
 mod snapshot;
@@ -15,4 +16,4 @@
 pub use datagram::{Beat, News, Phase, Row, Rows, StoreLink};
 pub use peers::{Event, Peers, Settings};
 pub use roster::{Peer, Roster};
-pub use snapshot::{FetchError, Snapshot, fetch};
+pub use snapshot::{FetchError, Known, Snapshot, Targets, fetch};
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use carobdrift_units::{Version, Zone};
+use carobdrift_units::Zone;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -14,8 +14,9 @@
 use tokio_util::task::TaskTracker;
 
 use crate::datagram::{Beat, Datagram, Digest, MAX_DATAGRAM, Member, News, Row, Rows};
+use crate::digest::Statements;
 use crate::roster::{Peer, Roster};
-use crate::snapshot::{Server, Snapshot};
+use crate::snapshot::{Known, Server, Snapshot, Source};
 
 /// Interval of beats and digests within a zone.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -24,6 +25,13 @@
 /// are dear.
 const REMOTE_EVERY: u32 = 4;
 
+/// A zone is told of the entries of other zones each this many intervals. They
+/// live for two seconds without a word.
+const FOREIGN_EVERY: u32 = 2;
+
+/// Pause between two questions for all entries of the zone.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+
 /// Interval at which an entry that nobody answered yet beats to the entries
 /// that it was told of.
 const JOIN_INTERVAL: Duration = Duration::from_millis(100);
@@ -50,6 +58,8 @@
     pub address: SocketAddr,
     /// Availability zone of this entry.
     pub zone: Zone,
+    /// Start of this process in Unix milliseconds.
+    pub started: u64,
 }
 
 /// What another entry told.
@@ -72,13 +82,17 @@
     settings: Settings,
     roster: Mutex<Roster>,
     sequence: AtomicU32,
+    /// What this entry, as a hub, stated of its zone.
+    statements: Mutex<Statements>,
+    /// When all entries of the zone were asked for last.
+    asked: Mutex<Option<Instant>>,
     statement: Box<dyn Fn(u32) -> Beat + Send + Sync>,
 }
 
 impl Peers {
     /// Starts to beat and to serve snapshots. `statement` tells what this entry
-    /// states of itself, under the number that it is given; `source` what it
-    /// knows beyond a version of the desired state.
+    /// states of itself, under the number that it is given; `news` how much it
+    /// knows, and `snapshot` what it knows beyond an asker's knowledge.
     ///
     /// # Errors
     ///
@@ -86,7 +100,8 @@
     pub async fn bind(
         settings: Settings,
         statement: Box<dyn Fn(u32) -> Beat + Send + Sync>,
-        source: Arc<dyn Fn(Version) -> Snapshot + Send + Sync>,
+        news: Box<dyn Fn() -> News + Send + Sync>,
+        snapshot: Box<dyn Fn(Known) -> Snapshot + Send + Sync>,
     ) -> io::Result<(Self, mpsc::Receiver<Event>)> {
         let socket = UdpSocket::bind(settings.address).await?;
         let listener = TcpListener::bind(settings.address).await?;
@@ -96,6 +111,8 @@
                 settings,
                 roster: Mutex::default(),
                 sequence: AtomicU32::new(0),
+                statements: Mutex::default(),
+                asked: Mutex::new(None),
                 statement,
             }),
         };
@@ -104,7 +121,7 @@
         tokio::spawn(peers.clone().beat());
         tokio::spawn(carobdrift_http1::listen(
             listener,
-            Arc::new(Server(source)),
+            Arc::new(Server::new(Source { news, snapshot })),
             CancellationToken::new(),
             TaskTracker::new(),
         ));
@@ -147,6 +164,7 @@
     /// Tells the other entries now, because something changed here.
     pub async fn announce(&self) {
         if self.is_hub() {
+            self.send_foreign().await;
             self.send_digest(true).await;
         }
         self.send_beat().await;
@@ -214,6 +232,9 @@
             let alone = self.roster().silence(Instant::now()) > INTERVAL * 8;
             self.send_beat().await;
             if self.is_hub() {
+                if round.is_multiple_of(FOREIGN_EVERY) {
+                    self.send_foreign().await;
+                }
                 self.send_digest(round.is_multiple_of(REMOTE_EVERY)).await;
             }
             round = round.wrapping_add(1);
@@ -234,33 +255,66 @@
         self.send(&beat, &addresses).await;
     }
 
+    /// Tells the zone of this hub which entries it has, and with `everywhere` the
+    /// hubs of other zones as well.
     async fn send_digest(&self, everywhere: bool) {
         let beat = self.statement();
-        let zone = &beat.zone;
+        let members = self.members(&beat);
+        let mut receivers = self.neighbours();
+        receivers.extend(self.zone_hubs());
+        let (stated, rest) = {
+            let statements = self.shared.statements.lock();
+            let mut statements = statements.unwrap_or_else(PoisonError::into_inner);
+            statements.divide(members.clone())
+        };
+        if stated.len() <= MEMBERS {
+            let digest = Datagram::Digest(Digest {
+                members: stated,
+                rest: Some(rest),
+                news: beat.news,
+            });
+            self.send(&digest, &receivers).await;
+        } else {
+            self.send_members(&members, beat.news, &receivers).await;
+        }
+        if everywhere {
+            let local = self.zone_hubs();
+            let mut remote = self.all_hubs();
+            remote.retain(|hub| !local.contains(hub));
+            self.send_members(&members, beat.news, &remote).await;
+        }
+    }
+
+    /// Tells the zone of this hub of some entries of each other zone.
+    async fn send_foreign(&self) {
         let now = Instant::now();
-        let (mut members, mut foreign) = (Vec::new(), Vec::new());
+        let zone = &self.shared.settings.zone;
+        let mut foreign = Vec::new();
         {
             let roster = self.roster();
             let mut counts = std::collections::HashMap::new();
-            for (address, peer) in roster.alive(now) {
-                if peer.zone == *zone {
-                    members.push(member(address, peer, now));
-                    continue;
-                }
-                let count = counts.entry(peer.zone.clone()).or_insert(0);
+            for (address, peer) in roster.alive(now).filter(|(_, peer)| peer.zone != *zone) {
+                let count = counts.entry(&peer.zone).or_insert(0);
                 *count += 1;
                 if *count <= FOREIGN_MEMBERS {
                     foreign.push(member(address, peer, now));
                 }
             }
         }
-        members.push(member(self.own(), &Peer::from((&beat, now)), now));
-        let neighbours = self.neighbours();
-        let hubs = self.zone_hubs();
-        self.send_members(&foreign, beat.news, &neighbours).await;
-        let mut receivers = neighbours;
-        receivers.extend(if everywhere { self.all_hubs() } else { hubs });
-        self.send_members(&members, beat.news, &receivers).await;
+        let news = self.statement().news;
+        self.send_members(&foreign, news, &self.neighbours()).await;
+    }
+
+    /// Entries of this entry's zone, itself included.
+    fn members(&self, beat: &Beat) -> Vec<Member> {
+        let now = Instant::now();
+        let roster = self.roster();
+        let mut members: Vec<Member> = roster
+            .stated(&beat.zone, now)
+            .map(|(address, peer)| member(address, peer, now))
+            .collect();
+        members.push(member(self.own(), &Peer::from((beat, now)), now));
+        members
     }
 
     /// Tells the zone and the hubs of other zones of one entry that changed.
@@ -276,6 +330,7 @@
         for part in members.chunks(MEMBERS) {
             let digest = Datagram::Digest(Digest {
                 members: part.to_vec(),
+                rest: None,
                 news,
             });
             self.send(&digest, receivers).await;
@@ -337,14 +392,17 @@
                     continue;
                 }
             };
-            let event = self.take(from.ip(), datagram).await;
+            let Some(event) = self.take(from.ip(), datagram).await else {
+                continue;
+            };
             if events.try_send(event).is_err() {
                 log::warn!(target: "peers", "event=dropped from={from} reason=queue-full");
             }
         }
     }
 
-    async fn take(&self, from: IpAddr, datagram: Datagram) -> Event {
+    /// Takes in a datagram; returns what it tells beyond the entries.
+    async fn take(&self, from: IpAddr, datagram: Datagram) -> Option<Event> {
         let now = Instant::now();
         self.roster().note_word(now);
         match datagram {
@@ -363,20 +421,61 @@
                     let own = Datagram::Beat(self.statement());
                     self.send(&own, &[from]).await;
                 }
-                Event::News(from, beat.news)
+                Some(Event::News(from, beat.news))
             }
             Datagram::Digest(digest) => {
-                let own = self.own();
-                let mut roster = self.roster();
-                for member in digest.members {
-                    if member.address != own {
-                        roster.learn(member, now);
-                    }
+                let news = digest.news;
+                if !self.learn(from, digest, now) && self.may_ask(now) {
+                    self.send(&Datagram::Ask, &[from]).await;
+                }
+                Some(Event::News(from, news))
+            }
+            Datagram::Ask => {
+                if self.is_hub() {
+                    let beat = self.statement();
+                    let members = self.members(&beat);
+                    self.send_members(&members, beat.news, &[from]).await;
                 }
-                Event::News(from, digest.news)
+                None
             }
-            Datagram::Rows(rows) => Event::Rows(rows),
+            Datagram::Rows(rows) => Some(Event::Rows(rows)),
+        }
+    }
+}
+
+impl Peers {
+    /// Takes in the entries of a digest. Returns whether the entries that it
+    /// vouches for are those that this entry knows.
+    fn learn(&self, from: IpAddr, digest: Digest, now: Instant) -> bool {
+        let own = self.own();
+        let listed: Vec<IpAddr> = digest.members.iter().map(|m| m.address).collect();
+        let mut roster = self.roster();
+        for member in digest.members {
+            if member.address != own {
+                roster.learn(member, now);
+            }
+        }
+        let Some(rest) = digest.rest else {
+            return true;
+        };
+        // Digests that vouch stay within a zone.
+        let zone = &self.shared.settings.zone;
+        let process = self.shared.settings.started;
+        let known = roster.vouch(zone, (own, process), &listed, rest, now);
+        if !known {
+            log::debug!(target: "peers", "event=other-entries hub={from}");
+        }
+        known
+    }
+
+    fn may_ask(&self, now: Instant) -> bool {
+        let asked = self.shared.asked.lock();
+        let mut asked = asked.unwrap_or_else(PoisonError::into_inner);
+        let due = asked.is_none_or(|at| now.saturating_duration_since(at) >= ASK_PAUSE);
+        if due {
+            *asked = Some(now);
         }
+        due
     }
 }
 
--- a/crates/peers/src/roster.rs
+++ b/crates/peers/src/roster.rs
@@ -7,7 +7,7 @@
 use carobdrift_units::Zone;
 use tokio::time::Instant;
 
-use crate::datagram::{Beat, Member, Phase, StoreLink};
+use crate::datagram::{Beat, Member, Phase, Rest, StoreLink};
 
 /// Hubs of each zone. Two, so that the loss of one leaves no gap.
 pub(crate) const HUBS: usize = 2;
@@ -134,6 +134,59 @@
         self.hear(member.address, peer, now)
     }
 
+    /// Takes in that a hub vouches for all entries of its zone but the listed
+    /// ones; `own` is this entry's address and process.
+    /// Returns whether these are the entries that this one knows; if not,
+    /// nothing changes.
+    pub(crate) fn vouch(
+        &mut self,
+        zone: &Zone,
+        own: (IpAddr, u64),
+        listed: &[IpAddr],
+        rest: Rest,
+        now: Instant,
+    ) -> bool {
+        let mut known = Rest::default();
+        if !listed.contains(&own.0) {
+            known.add(own.0, own.1);
+        }
+        let is_meant = |address: &IpAddr, peer: &Peer| {
+            peer.zone == *zone && peer.is_alive(now) && !listed.contains(address)
+        };
+        for (address, peer) in &self.peers {
+            if is_meant(address, peer) {
+                known.add(*address, peer.stamp.0);
+            }
+        }
+        if known.fingerprint != rest.fingerprint {
+            return false;
+        }
+        let age = Duration::from_millis(rest.oldest_ms.into());
+        let Some(heard) = now.checked_sub(age) else {
+            return true;
+        };
+        for (address, peer) in &mut self.peers {
+            if is_meant(address, peer) {
+                peer.heard = peer.heard.max(heard);
+            }
+        }
+        true
+    }
+
+    /// Entries of a zone that were heard of so lately that a digest states them.
+    /// Those that have gone silent are stated for a while beyond their life, so
+    /// that no receiver still counts them when the digest leaves them out.
+    pub(crate) fn stated<'a>(
+        &'a self,
+        zone: &'a Zone,
+        now: Instant,
+    ) -> impl Iterator<Item = (IpAddr, &'a Peer)> {
+        let peers = self.peers.iter().map(|(address, peer)| (*address, peer));
+        peers.filter(move |(_, peer)| {
+            peer.zone == *zone && now.saturating_duration_since(peer.heard) <= LIFETIME * 2
+        })
+    }
+
     /// Notes that an entry was heard of directly.
     pub(crate) fn note_word(&mut self, now: Instant) {
         self.word = Some(now);
@@ -171,13 +224,19 @@
         let mut hubs: BTreeMap<Zone, Vec<IpAddr>> = BTreeMap::new();
         hubs.entry(zone.clone()).or_default().push(own);
         for (address, peer) in self.alive(now) {
-            if peer.phase != Phase::Leaving {
-                hubs.entry(peer.zone.clone()).or_default().push(address);
+            if peer.phase == Phase::Leaving {
+                continue;
+            }
+            if let Some(first) = hubs.get_mut(&peer.zone) {
+                // Only the first ones are kept at any time.
+                let place = first.partition_point(|other| *other < address);
+                if place < HUBS {
+                    first.insert(place, address);
+                    first.truncate(HUBS);
+                }
+            } else {
+                hubs.insert(peer.zone.clone(), vec![address]);
             }
-        }
-        for addresses in hubs.values_mut() {
-            addresses.sort_unstable();
-            addresses.truncate(HUBS);
         }
         hubs
     }
--- a/crates/peers/src/snapshot.rs
+++ b/crates/peers/src/snapshot.rs
@@ -1,7 +1,7 @@
 //! Everything that an entry knows, as another one fetches it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::datagram::Row;
+use crate::datagram::{News, Row};
 
 /// Time for a snapshot to be fetched.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -25,15 +25,40 @@
 /// Largest snapshot, in bytes.
 const MAX_SNAPSHOT: u64 = 64 * 1024 * 1024;
 
-/// Everything that an entry knows of the installation.
+/// What an entry knows of the installation beyond what the asker knows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// The desired state in force, if it is newer than asked for.
+    /// The desired state in force, if it is newer than the asker's.
     pub state: Option<State>,
-    /// Revision of the store up to which the targets are complete.
+    /// The targets, if they are newer than the asker's.
+    pub targets: Option<Targets>,
+}
+
+/// The targets as of one revision of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Targets {
+    /// Revision up to which they are complete.
     pub revision: u64,
     /// The targets.
-    pub targets: Vec<Row>,
+    pub rows: Vec<Row>,
+}
+
+/// How much the asker of a snapshot knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Known {
+    /// Version of its desired state.
+    pub state: Version,
+    /// Revision of its targets; absent while it knows none.
+    pub targets: Option<u64>,
+}
+
+/// Parts of an asker's question that are left out, and what they are left out of:
+/// askers with the same one get the same bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Part {
+    newest: News,
+    state: bool,
+    targets: bool,
 }
 
 /// Why a snapshot could not be fetched.
@@ -53,16 +78,17 @@
     Malformed(#[from] postcard::Error),
 }
 
-/// Fetches what an entry knows. The desired state is left out unless it is
-/// newer than `known`.
+/// Fetches what an entry knows beyond `known`.
 ///
 /// # Errors
 ///
 /// Fails when the entry does not answer within 800 ms.
-pub async fn fetch(address: SocketAddr, known: Version) -> Result<Snapshot, FetchError> {
+pub async fn fetch(address: SocketAddr, known: Known) -> Result<Snapshot, FetchError> {
     let fetch = async {
         let mut connection = Connection::open(address, CONNECT_TIMEOUT, MAX_SNAPSHOT).await?;
-        let request = encode_request(&Method::GET, &format!("/{known}"), &HeaderMap::new(), &[]);
+        let targets = known.targets.map(|revision| revision.to_string());
+        let target = format!("/{}/{}", known.state, targets.unwrap_or_default());
+        let request = encode_request(&Method::GET, &target, &HeaderMap::new(), &[]);
         let mut sent = 0;
         let response = connection
             .exchange(&Method::GET, &request, &mut sent)
@@ -75,10 +101,54 @@
 }
 
 /// Source of the snapshots that this entry serves.
-pub(crate) type Source = Arc<dyn Fn(Version) -> Snapshot + Send + Sync>;
+pub(crate) struct Source {
+    /// How much this entry knows.
+    pub(crate) news: Box<dyn Fn() -> News + Send + Sync>,
+    /// What it knows beyond an asker's knowledge.
+    pub(crate) snapshot: Box<dyn Fn(Known) -> Snapshot + Send + Sync>,
+}
 
 /// Serves snapshots to other entries.
-pub(crate) struct Server(pub(crate) Source);
+pub(crate) struct Server {
+    source: Source,
+    /// The last snapshot, encoded. Many entries ask for the same one at a time.
+    last: Mutex<Option<(Part, Bytes)>>,
+}
+
+impl Server {
+    pub(crate) fn new(source: Source) -> Self {
+        Self {
+            source,
+            last: Mutex::new(None),
+        }
+    }
+
+    fn encode(&self, known: Known) -> Result<Bytes, postcard::Error> {
+        let newest = (self.source.news)();
+        let part = Part {
+            // The age of the store's answer changes all the time.
+            newest: News {
+                store_age_ms: 0,
+                ..newest
+            },
+            state: known.state < newest.state,
+            targets: known.targets < Some(newest.targets),
+        };
+        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((of, bytes)) = &*last
+            && *of == part
+        {
+            return Ok(bytes.clone());
+        }
+        let snapshot = (self.source.snapshot)(known);
+        let bytes = Bytes::from(postcard::to_allocvec(&snapshot)?);
+        // An entry that has not read everything yet leaves out what it lacks.
+        let is_whole =
+            snapshot.state.is_some() == part.state && snapshot.targets.is_some() == part.targets;
+        *last = is_whole.then(|| (part, bytes.clone()));
+        Ok(bytes)
+    }
+}
 
 impl Service for Server {
     fn is_closing(&self) -> bool {
@@ -86,12 +156,11 @@
     }
 
     async fn call(self: Arc<Self>, request: Request) -> Response {
-        let known = request.path().trim_start_matches('/').parse();
-        let Ok(known) = known else {
+        let Some(known) = parse(request.path()) else {
             return Response::new(StatusCode::BAD_REQUEST, Bytes::new());
         };
-        match postcard::to_allocvec(&(self.0)(known)) {
-            Ok(body) => Response::new(StatusCode::OK, body.into()),
+        match self.encode(known) {
+            Ok(body) => Response::new(StatusCode::OK, body),
             Err(error) => {
                 log::error!(target: "peers", "event=snapshot-failed error=\"{error}\"");
                 Response::new(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
@@ -99,3 +168,15 @@
         }
     }
 }
+
+/// What the asker knows, as its question states it.
+fn parse(path: &str) -> Option<Known> {
+    let (state, targets) = path.strip_prefix('/')?.split_once('/')?;
+    Some(Known {
+        state: state.parse().ok()?,
+        targets: match targets {
+            "" => None,
+            revision => Some(revision.parse().ok()?),
+        },
+    })
+}
