Give a target that joins its first request

Cause: an entry stays with the targets that it knows while these have room: unknown ones cost more, because a connection would have to be opened, and nothing ever made one known.

Now a target that was registered after the entry learned the others, and is no longer cold, gets a probe of its own and, once it is known to be good, one request. Urgent requests and requests that were probed already don't try it.

--- a/crates/placement/src/node.rs
+++ b/crates/placement/src/node.rs
@@ -43,6 +43,9 @@
 /// a slow one.
 const MAX_UNANSWERED: u32 = 4;
 
+/// Time between two probes of a target that joined and was not tried yet.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Whether a target takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Lifecycle {
@@ -95,6 +98,9 @@
     in_flight: Vec<Flight>,
     health: Health,
     cold_until: Instant,
+    /// Whether it joined while the others were known, and no request was sent to
+    /// it yet.
+    untried: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -105,7 +111,7 @@
 }
 
 impl Node {
-    pub(crate) fn new(endpoint: Endpoint, local: bool, now: Instant) -> Self {
+    pub(crate) fn new(endpoint: Endpoint, local: bool, joined: bool, now: Instant) -> Self {
         let cold_until = now + endpoint.cold;
         Self {
             endpoint,
@@ -116,6 +122,7 @@
             in_flight: Vec::new(),
             health: Health::default(),
             cold_until,
+            untried: joined,
         }
     }
 
@@ -126,6 +133,7 @@
     }
 
     pub(crate) fn begin(&mut self, id: u64, expected: Duration, now: Instant) {
+        self.untried = false;
         self.in_flight.push(Flight {
             id,
             since: now,
@@ -161,6 +169,19 @@
         })
     }
 
+    /// Whether it joined, is no longer cold, and got no request yet.
+    pub(crate) fn is_untried(&self, now: Instant) -> bool {
+        self.untried && now >= self.cold_until
+    }
+
+    /// Whether nothing was heard of it lately, nor asked.
+    pub(crate) fn is_probe_due(&self, now: Instant) -> bool {
+        let heard = self.stated.map(|stated| stated.at);
+        heard
+            .max(self.asked)
+            .is_none_or(|at| now.saturating_duration_since(at) >= TRIAL_INTERVAL)
+    }
+
     pub(crate) fn unanswered(&mut self) {
         self.unanswered = self.unanswered.saturating_add(1);
     }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -56,6 +56,9 @@
 /// far below that of a target on trial.
 const PROBED_MARGIN: f64 = 0.5;
 
+/// Time after the first target from which targets count as joined.
+const SETTLED: Duration = Duration::from_secs(5);
+
 /// Age from which a report does not show that a connection is open.
 const FORGOTTEN: Duration = Duration::from_secs(8);
 
@@ -97,6 +100,8 @@
     nodes: HashMap<Target, Node>,
     usual: Usual,
     attempts: u64,
+    /// When the first target was added.
+    opened: Option<Instant>,
 }
 
 impl Pool {
@@ -111,6 +116,7 @@
                 time: FIRST_TIME,
             },
             attempts: 0,
+            opened: None,
         }
     }
 
@@ -126,8 +132,11 @@
                 node.update(endpoint, now);
             }
             _ => {
+                let opened = *self.opened.get_or_insert(now);
+                let joined = now.saturating_duration_since(opened) >= SETTLED;
                 let id = endpoint.id.clone();
-                self.nodes.insert(id, Node::new(endpoint, local, now));
+                let node = Node::new(endpoint, local, joined, now);
+                self.nodes.insert(id, node);
             }
         }
     }
@@ -178,6 +187,11 @@
         let Some(&(_, best)) = ranked.first() else {
             return Choice::NoTarget;
         };
+        if !demand.urgent
+            && let Some(choice) = self.trial(demand, now)
+        {
+            return choice;
+        }
         if self.is_good(best, now) {
             return Choice::Send(best.endpoint.clone());
         }
@@ -211,6 +225,28 @@
         Choice::Probe(probes.map(|(_, node)| node.endpoint.clone()).collect())
     }
 
+    /// Gives a target that joined its first request once it is known to be good,
+    /// and a probe until then. Otherwise it would stay without work while the
+    /// others have room, since they are known and have open connections.
+    fn trial(&self, demand: Demand<'_>, now: Instant) -> Option<Choice> {
+        let mut untried = self.nodes.values().filter(|node| {
+            node.is_untried(now)
+                && node.is_usable(now)
+                && !node.is_on_trial()
+                && !demand.tried.contains(&node.endpoint.id)
+        });
+        untried.find_map(|node| {
+            let endpoint = || node.endpoint.clone();
+            if self.is_good(node, now) {
+                Some(Choice::Send(endpoint()))
+            } else if node.is_probe_due(now) && demand.probed.is_empty() {
+                Some(Choice::Probe(vec![endpoint()]))
+            } else {
+                None
+            }
+        })
+    }
+
     /// Begins an attempt on a target, which is expected to take `work` at usual
     /// speed. Returns its number.
     pub fn begin(&mut self, target: &Target, work: Duration, now: Instant) -> u64 {
--- a/crates/placement/tests/all/pool.rs
+++ b/crates/placement/tests/all/pool.rs
@@ -82,6 +82,60 @@
     assert_eq!(sent(choice).as_deref(), Some("b"));
 }
 
+/// Guards against targets that join and stay without work while others have
+/// enough room.
+#[test]
+fn a_target_that_joins_is_tried_once() {
+    let start = Instant::now();
+    let mut pool = pool(&["a", "b"], start);
+    let now = start + Duration::from_secs(20);
+    pool.put(endpoint("joined"), now);
+    pool.report(&target("a"), load(0, 1.0), now);
+    pool.report(&target("b"), load(0, 1.0), now);
+
+    let asked = probed(pool.choose(demand(), now));
+    let meanwhile = sent(pool.choose(demand(), now));
+    pool.report(&target("joined"), load(0, 1.0), now);
+    let first = sent(pool.choose(demand(), now));
+    attempt(&mut pool, "joined", Outcome::Success, now);
+    let later = now + Duration::from_secs(1);
+    pool.report(&target("a"), load(0, 1.0), later);
+    pool.report(&target("b"), load(0, 1.0), later);
+    let next = sent(pool.choose(demand(), later));
+
+    assert!(asked.contains(&target("joined")));
+    assert_ne!(meanwhile, None, "requests do not wait for the new target");
+    assert_eq!(first.as_deref(), Some("joined"));
+    assert_ne!(next, None, "a target that was tried costs no further probe");
+}
+
+/// Guards against a target that joins and gets requests blindly.
+#[test]
+fn a_slow_target_that_joins_is_not_tried() {
+    let start = Instant::now();
+    let mut pool = pool(&["a"], start);
+    let now = start + Duration::from_secs(20);
+    pool.put(endpoint("joined"), now);
+    pool.report(&target("a"), load(0, 1.0), now);
+    pool.report(&target("joined"), load(0, 5.0), now);
+    let urgent = Demand {
+        urgent: true,
+        ..demand()
+    };
+    let mut unknown = pool_with_joined(start, now);
+
+    assert_eq!(sent(pool.choose(demand(), now)).as_deref(), Some("a"));
+    assert_eq!(sent(unknown.choose(urgent, now)).as_deref(), Some("a"));
+}
+
+/// A pool with a good target, and one that joined and was not heard of.
+fn pool_with_joined(start: Instant, now: Instant) -> Pool {
+    let mut pool = pool(&["a"], start);
+    pool.put(endpoint("joined"), now);
+    pool.report(&target("a"), load(0, 1.0), now);
+    pool
+}
+
 /// Guards against trust in a report that is older than the speed of a target
 /// lasts.
 #[test]
