Keep one Secret, one Service of stand-ins, and name the command that builds them

entry and membership each had a Secret, and a trace repeated the service of the fleet. A stand-in that is not built now says which command builds it; slopes and compare of the replay failed on a clean clone without a hint.

--- a/crates/catalog/tests/all/fixture.rs
+++ b/crates/catalog/tests/all/fixture.rs
@@ -6,11 +6,11 @@
 
 use carobdrift_catalog::{Accepted, Catalog, Edit, EditError, Metrics, Standing};
 use carobdrift_document::Document;
-use carobdrift_membership::{Inbox, Links, Metrics as LinkMetrics, Secret, Settings};
+use carobdrift_membership::{Inbox, Links, Metrics as LinkMetrics, Settings};
 use carobdrift_platform::Client;
 use carobdrift_test_support::platform::{self, Down, Fault, Listing, StandIn};
 use carobdrift_test_support::relay::{Flows, Relay};
-use carobdrift_units::{Incarnation, Instance, Revision, Service, Version};
+use carobdrift_units::{Incarnation, Instance, Revision, Secret, Service, Version};
 use carobdrift_wire::{Answer, Copy, Frame, Query};
 use prometheus::Registry;
 use serde_json::{Value, json};
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -15,7 +15,7 @@
 use carobdrift_membership::Links;
 use carobdrift_platform::{Backend, Client};
 use carobdrift_proxy::{Listener, Services};
-use carobdrift_units::{Incarnation, Team};
+use carobdrift_units::{Incarnation, Secret, Team};
 use prometheus::Registry;
 use prometheus::process_collector::ProcessCollector;
 use serde::Serialize;
@@ -25,7 +25,7 @@
 use crate::error::Error;
 use crate::inbox::Inbox;
 use crate::measuring::Measuring;
-use crate::settings::{Secret, Settings};
+use crate::settings::Settings;
 use crate::statement;
 use crate::steered::Steered;
 use crate::subjects;
@@ -260,7 +260,7 @@
         admin,
         listen: settings.listen.peer,
         advertise,
-        secret: carobdrift_membership::Secret::new(settings.peer_secret.expose().to_owned()),
+        secret: settings.peer_secret.clone(),
     };
     let metrics = carobdrift_membership::Metrics::register(registry)?;
     Ok(Links::bind(settings, client, metrics).await?)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,5 @@
 pub use error::Error;
 pub use logging::{LogError, set_up_logging};
 pub use settings::{
-    Arguments, Fault, Format, Invalid, Keys, Listen, Log, Platform, Problem, Secret, Settings,
-    TeamLimit,
+    Arguments, Fault, Format, Invalid, Keys, Listen, Log, Platform, Problem, Settings, TeamLimit,
 };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,18 +2,16 @@
 
 mod arguments;
 mod check;
-mod secret;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
 use carobdrift_document::Ceilings;
-use carobdrift_units::{ByteSize, Cell, Instance, Millis, PerSecond, Region, Team, Zone};
+use carobdrift_units::{ByteSize, Cell, Instance, Millis, PerSecond, Region, Secret, Team, Zone};
 use serde::Serialize;
 
 pub use arguments::Arguments;
 pub use check::{Fault, Invalid, Problem};
-pub use secret::Secret;
 
 /// Checked settings of an entry.
 #[derive(Debug, Clone, Serialize)]
--- a/crates/entry/src/settings/check.rs
+++ b/crates/entry/src/settings/check.rs
@@ -5,10 +5,10 @@
 use std::str::FromStr;
 
 use carobdrift_document::Ceilings;
-use carobdrift_units::{Millis, Team};
+use carobdrift_units::{Millis, Secret, Team};
 use thiserror::Error;
 
-use super::{Arguments, Format, Keys, Listen, Log, Platform, Secret, Settings, TeamLimit};
+use super::{Arguments, Format, Keys, Listen, Log, Platform, Settings, TeamLimit};
 
 /// Shortest peer secret or token, in bytes; shorter ones can be guessed.
 const SECRET_MIN: usize = 16;
--- a/crates/idempotency/tests/all/table.rs
+++ b/crates/idempotency/tests/all/table.rs
@@ -70,7 +70,7 @@
     let other = claims
         .claim(call(&long('b'), Scheme::Caller, PATIENCE))
         .await;
-    first.expect("it is new").dispatch();
+    let _dispatched = first.expect("it is new").dispatch();
     let again = claims
         .claim(call(&long('a'), Scheme::Caller, PATIENCE))
         .await;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -24,5 +24,5 @@
 pub use links::Links;
 pub use metrics::Metrics;
 pub use peer::Peer;
-pub use settings::{Secret, Settings};
+pub use settings::Settings;
 pub use status::{Confirmation, Serving};
--- a/crates/membership/src/links.rs
+++ b/crates/membership/src/links.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use carobdrift_platform::{Client, Target};
-use carobdrift_units::Instance;
+use carobdrift_units::{Instance, Secret};
 use carobdrift_wire::{Answer, Frame, Hello, PROTOCOL, Query, Status, encode};
 use http::HeaderValue;
 use tokio::net::TcpListener;
@@ -20,7 +20,7 @@
 use crate::outbound::{Outbound, PushError, lock};
 use crate::peer::Peer;
 use crate::roster::Roster;
-use crate::settings::{Secret, Settings};
+use crate::settings::{Settings, bearer};
 use crate::status::{Confirmation, Serving, compose};
 use crate::{dialler, list, listener};
 
@@ -72,7 +72,7 @@
         let tcp = TcpListener::bind(address).await.map_err(failed)?;
         let bound = tcp.local_addr().map_err(failed)?;
         let mut authorization =
-            HeaderValue::try_from(settings.secret.bearer()).map_err(|_| Error::Secret)?;
+            HeaderValue::try_from(bearer(&settings.secret)).map_err(|_| Error::Secret)?;
         authorization.set_sensitive(true);
 
         let mut peer = settings.advertise.unwrap_or(bound);
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -1,9 +1,8 @@
 //! Settings of the links.
 
-use std::fmt;
 use std::net::SocketAddr;
 
-use carobdrift_units::{Cell, Incarnation, Instance, Zone};
+use carobdrift_units::{Cell, Incarnation, Instance, Secret, Zone};
 use subtle::ConstantTimeEq;
 
 /// What the links of an entry need to know of the entry.
@@ -30,30 +29,12 @@
     pub secret: Secret,
 }
 
-/// Secret of a cell; never printed.
-#[derive(Clone)]
-pub struct Secret(String);
-
-impl Secret {
-    /// Wraps a text of visible ASCII characters.
-    #[must_use]
-    pub fn new(text: String) -> Self {
-        Self(text)
-    }
-
-    /// The value of the `authorization` header field that presents the secret.
-    pub(crate) fn bearer(&self) -> String {
-        format!("Bearer {}", self.0)
-    }
-
-    /// Whether a header field presents this secret, compared in constant time.
-    pub(crate) fn admits(&self, authorization: &[u8]) -> bool {
-        self.bearer().as_bytes().ct_eq(authorization).into()
-    }
+/// The value of the `authorization` header field that presents a secret.
+pub(crate) fn bearer(secret: &Secret) -> String {
+    format!("Bearer {}", secret.expose())
 }
 
-impl fmt::Debug for Secret {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("<redacted>")
-    }
+/// Whether a header field presents a secret, compared in constant time.
+pub(crate) fn admits(secret: &Secret, authorization: &[u8]) -> bool {
+    bearer(secret).as_bytes().ct_eq(authorization).into()
 }
--- a/crates/membership/src/socket.rs
+++ b/crates/membership/src/socket.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carobdrift_units::Instance;
+use carobdrift_units::{Instance, Secret};
 use carobdrift_wire::{FRAME_LIMIT, Frame, decode, encode};
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
@@ -18,7 +18,7 @@
 use tokio_tungstenite::tungstenite::{self, Message};
 
 use crate::error::LinkError;
-use crate::settings::Secret;
+use crate::settings::admits;
 
 /// Time within which a connection must open, upgrade and introduce itself.
 pub(crate) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -72,7 +72,7 @@
     )]
     let check = |request: &Request, response: Response| -> Result<Response, ErrorResponse> {
         let presented = request.headers().get(AUTHORIZATION);
-        if presented.is_some_and(|value| secret.admits(value.as_bytes())) {
+        if presented.is_some_and(|value| admits(secret, value.as_bytes())) {
             return Ok(response);
         }
         let instance = request.headers().get(INSTANCE_HEADER);
--- a/crates/membership/tests/all/fixture.rs
+++ b/crates/membership/tests/all/fixture.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use carobdrift_membership::{Inbox, Links, Metrics, Peer, Secret, Settings};
+use carobdrift_membership::{Inbox, Links, Metrics, Peer, Settings};
 use carobdrift_platform::Client;
 use carobdrift_test_support::platform::{self, Listing, StandIn};
 use carobdrift_test_support::relay::Relay;
-use carobdrift_units::{Incarnation, Instance};
+use carobdrift_units::{Incarnation, Instance, Secret};
 use prometheus::Registry;
 
 pub(crate) const SECRET: &str = "peers only";
--- a/crates/replay/src/compare/setup.rs
+++ b/crates/replay/src/compare/setup.rs
@@ -6,13 +6,12 @@
 use std::time::{Duration, Instant};
 
 use carobdrift_test_support::caller::Caller;
-use carobdrift_test_support::fleet::{self, Fleet};
-use carobdrift_test_support::target::Noise;
+use carobdrift_test_support::fleet::{self, Fleet, Service};
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 
 use super::Error;
-use crate::trace::{Policy, Service, Trace};
+use crate::trace::{Policy, Trace};
 use carobdrift_test_support::load;
 
 /// Time within which an entry must become ready.
@@ -64,7 +63,7 @@
             .unwrap_or_default();
         let mut fleet = Fleet::spawn(&zones, logs.map(Path::to_owned)).await?;
         for service in &trace.services {
-            fleet.start_targets(&behaviour(service)).await?;
+            fleet.start_targets(service).await?;
         }
         let mut running = Vec::new();
         for _ in 0..trace.entries {
@@ -302,22 +301,6 @@
         .collect()
 }
 
-fn behaviour(service: &Service) -> fleet::Service {
-    fleet::Service {
-        name: service.name.clone(),
-        targets: service.targets,
-        slots: service.slots,
-        zones: service.zones.clone(),
-        mean_ms: service.mean_ms,
-        sigma: service.sigma,
-        noise: Some(Noise {
-            factor: service.noise_factor,
-            duration_ms: Duration::from_millis(service.noise_ms).as_secs_f64() * 1000.0,
-            share: service.noise_percent / 100.0,
-        }),
-    }
-}
-
 fn template(examples: &Path, service: &Service, fleet: &Fleet) -> Result<Value, Error> {
     let path = examples.join(format!("{}.json", service.name));
     let shown = path.display().to_string();
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use carobdrift_test_support::fleet::Service;
+
 pub use parse::{Error, Problem};
 
 /// A whole trace.
@@ -29,29 +31,6 @@
     pub expectations: Vec<Expectation>,
 }
 
-/// A service and the behaviour of its targets.
-#[derive(Debug, Clone)]
-pub struct Service {
-    /// Name.
-    pub name: String,
-    /// Number of targets.
-    pub targets: u32,
-    /// Requests that each target executes at a time.
-    pub slots: u32,
-    /// Availability zones, filled in turn.
-    pub zones: Vec<String>,
-    /// Mean service time in milliseconds.
-    pub mean_ms: f64,
-    /// Shape of the lognormal service time.
-    pub sigma: f64,
-    /// Slow-down by a noisy neighbour.
-    pub noise_factor: f64,
-    /// Length of a slow-down in milliseconds.
-    pub noise_ms: u64,
-    /// Share of time with a slow-down, in percent.
-    pub noise_percent: f64,
-}
-
 /// A Poisson stream of calls.
 #[derive(Debug, Clone)]
 pub struct Stream {
--- a/crates/replay/src/trace/check.rs
+++ b/crates/replay/src/trace/check.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use super::parse::Problem;
-use super::{Action, Block, Event, Expectation, Service, Trace};
+use carobdrift_test_support::fleet::Service;
+
+use super::{Action, Block, Event, Expectation, Trace};
 
 pub(super) fn service<'a>(trace: &'a Trace, name: &str) -> Result<&'a Service, Problem> {
     trace
--- a/crates/replay/src/trace/parse.rs
+++ b/crates/replay/src/trace/parse.rs
@@ -5,13 +5,15 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use carobdrift_test_support::fleet::Service;
+use carobdrift_test_support::target::Noise;
 use serde::Deserialize;
 use serde::de::IntoDeserializer;
 use thiserror::Error;
 
 use super::{
-    Action, Block, Direct, Event, Expectation, PlatformFault, Policy, Quantity, Service, Stream,
-    Trace, check,
+    Action, Block, Direct, Event, Expectation, PlatformFault, Policy, Quantity, Stream, Trace,
+    check,
 };
 
 /// A line of a trace that can't be read.
@@ -157,9 +159,11 @@
             .collect(),
         mean_ms: settings.parse("mean_ms")?,
         sigma: settings.parse("sigma")?,
-        noise_factor: settings.parse("noise_factor")?,
-        noise_ms: settings.parse("noise_ms")?,
-        noise_percent: settings.parse("noise_percent")?,
+        noise: Some(Noise {
+            factor: settings.parse("noise_factor")?,
+            duration_ms: settings.parse("noise_ms")?,
+            share: settings.parse::<f64>("noise_percent")? / 100.0,
+        }),
     })
 }
 
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -19,7 +19,7 @@
 #[derive(Debug, Error)]
 pub enum Error {
     /// The program could not be run.
-    #[error("{program} can't be run: {source}")]
+    #[error("{program} can't be run: {source}; `cargo build --workspace --bins` builds it")]
     Spawn {
         /// The program.
         program: PathBuf,
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -6,9 +6,11 @@
 mod name;
 mod number;
 mod rendezvous;
+mod secret;
 
 pub use name::{Cell, Class, EditId, Fault, Instance, Region, Service, Target, Team, Zone};
 pub use number::{
     ByteSize, Incarnation, Millis, ParseError, PerSecond, Percent, Revision, Version,
 };
 pub use rendezvous::rank;
+pub use secret::Secret;
