--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -81,7 +81,7 @@
 pub(crate) struct Digest {
     /// Entries that are stated one by one.
     pub(crate) members: Vec<Member>,
-    /// The other entries of the hub's zone, where the digest vouches for them.
+    /// The other entries of the hub's zone, where the digest confirms them.
     pub(crate) rest: Option<Rest>,
     /// What the hub knows.
     pub(crate) news: News,
--- a/crates/peers/src/digest.rs
+++ b/crates/peers/src/digest.rs
@@ -3,8 +3,8 @@
 //! A hub tells every entry of its zone four times a second which entries there
 //! are. Stating each one each time would cost the square of the zone's size, so
 //! a digest states one by one only the entries about which something changed,
-//! and vouches for the rest with one fingerprint. An entry that knows other ones
-//! than the hub vouches for asks for all of them.
+//! and confirms the rest with one fingerprint. An entry that knows other ones
+//! than the hub confirms asks for all of them.
 
 use std::collections::HashMap;
 use std::net::IpAddr;
@@ -19,7 +19,7 @@
 
 /// Age of an entry's last word, in milliseconds, from which the entry is stated
 /// one by one. It covers one lost beat.
-const VOUCHED_AGE_MS: u32 = 400;
+const CONFIRMED_AGE_MS: u32 = 400;
 
 /// A rate is stated when it moved by more than this part of the one stated last,
 /// and by more than [`RATE_STEP`] requests a second.
@@ -57,11 +57,12 @@
 
 impl Statements {
     /// Divides the entries of a zone into those that the next digest states one
-    /// by one, and the rest that it vouches for.
+    /// by one, and the rest that it confirms.
     pub(crate) fn divide(&mut self, mut members: Vec<Member>) -> (Vec<Member>, Rest) {
         members.sort_unstable_by_key(|member| member.address);
-        self.last
-            .retain(|address, _| members.iter().any(|member| member.address == *address));
+        let position =
+            |address: &IpAddr| members.binary_search_by_key(address, |member| member.address);
+        self.last.retain(|address, _| position(address).is_ok());
         let count = members.len();
         let first = self.turn % count.max(1);
         self.turn = first + ROTATING;
@@ -92,7 +93,7 @@
             rate: member.rate,
             repeats: REPEATS,
         });
-        if last.stated != stated || member.age_ms > VOUCHED_AGE_MS {
+        if last.stated != stated || member.age_ms > CONFIRMED_AGE_MS {
             last.stated = stated;
             last.repeats = REPEATS;
         }
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -441,11 +441,9 @@
             Datagram::Rows(rows) => Some(Event::Rows(rows)),
         }
     }
-}
 
-impl Peers {
     /// Takes in the entries of a digest. Returns whether the entries that it
-    /// vouches for are those that this entry knows.
+    /// confirms are those that this entry knows.
     fn learn(&self, from: IpAddr, digest: Digest, now: Instant) -> bool {
         let own = self.own();
         let listed: Vec<IpAddr> = digest.members.iter().map(|m| m.address).collect();
@@ -458,10 +456,10 @@
         let Some(rest) = digest.rest else {
             return true;
         };
-        // Digests that vouch stay within a zone.
+        // Digests that confirm entries stay within a zone.
         let zone = &self.shared.settings.zone;
         let process = self.shared.settings.started;
-        let known = roster.vouch(zone, (own, process), &listed, rest, now);
+        let known = roster.confirm(zone, (own, process), &listed, rest, now);
         if !known {
             log::debug!(target: "peers", "event=other-entries hub={from}");
         }
--- a/crates/peers/src/roster.rs
+++ b/crates/peers/src/roster.rs
@@ -134,11 +134,11 @@
         self.hear(member.address, peer, now)
     }
 
-    /// Takes in that a hub vouches for all entries of its zone but the listed
+    /// Takes in that a hub confirms all entries of its zone but the listed
     /// ones; `own` is this entry's address and process.
     /// Returns whether these are the entries that this one knows; if not,
     /// nothing changes.
-    pub(crate) fn vouch(
+    pub(crate) fn confirm(
         &mut self,
         zone: &Zone,
         own: (IpAddr, u64),
--- a/crates/peers/src/snapshot.rs
+++ b/crates/peers/src/snapshot.rs
@@ -52,12 +52,15 @@
     pub targets: Option<u64>,
 }
 
-/// Parts of an asker's question that are left out, and what they are left out of:
-/// askers with the same one get the same bytes.
+/// What a snapshot consists of. Askers for which it is the same get the same
+/// bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Part {
+    /// How much this entry knows.
     newest: News,
+    /// Whether the asker lacks the desired state.
     state: bool,
+    /// Whether the asker lacks the targets.
     targets: bool,
 }
 
--- a/crates/peers/tests/all/zone.rs
+++ b/crates/peers/tests/all/zone.rs
@@ -1,4 +1,4 @@
-//! Entries of one zone, whose hubs vouch for those about which nothing changes.
+//! Entries of one zone, whose hubs confirm those about which nothing changes.
 
 use std::net::IpAddr;
 use std::sync::atomic::Ordering;
@@ -40,7 +40,7 @@
     assert!(missed <= 10, "{missed} of {} looks", 60 * entries.len());
 }
 
-/// Guards against a silent entry for which hubs still vouch.
+/// Guards against a silent entry that hubs still confirm.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silent_entry_is_dropped_by_all() {
     let mut entries = zone(6);
