--- a/crates/peers/src/digest.rs
+++ b/crates/peers/src/digest.rs
@@ -57,9 +57,8 @@
 
 impl Statements {
     /// Divides the entries of a zone into those that the next digest states one
-    /// by one, and the rest that it confirms.
-    pub(crate) fn divide(&mut self, mut members: Vec<Member>) -> (Vec<Member>, Rest) {
-        members.sort_unstable_by_key(|member| member.address);
+    /// by one, and the rest that it confirms. The entries are sorted by address.
+    pub(crate) fn divide(&mut self, members: &[Member]) -> (Vec<Member>, Rest) {
         let position =
             |address: &IpAddr| members.binary_search_by_key(address, |member| member.address);
         self.last.retain(|address, _| position(address).is_ok());
@@ -69,9 +68,9 @@
         let in_turn = |index: usize| (first..first + ROTATING).contains(&index);
         let mut rest = Rest::default();
         let mut stated = Vec::new();
-        for (index, member) in members.into_iter().enumerate() {
-            if self.note(&member) || in_turn(index) {
-                stated.push(member);
+        for (index, member) in members.iter().enumerate() {
+            if self.note(member) || in_turn(index) {
+                stated.push(member.clone());
             } else {
                 rest.add(member.address, member.started);
                 rest.oldest_ms = rest.oldest_ms.max(member.age_ms);
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,5 +1,6 @@
 //! Exchange of datagrams with the other entries.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -155,10 +156,10 @@
     /// Whether this entry is a hub of its zone.
     #[must_use]
     pub fn is_hub(&self) -> bool {
-        let own = self.own();
         let zone = &self.shared.settings.zone;
-        let hubs = self.roster().hubs(own, zone, Instant::now());
-        hubs.get(zone).is_some_and(|hubs| hubs.contains(&own))
+        let hubs = self.hubs();
+        hubs.get(zone)
+            .is_some_and(|hubs| hubs.contains(&self.own()))
     }
 
     /// Tells the other entries now, because something changed here.
@@ -192,12 +193,16 @@
         self.shared.settings.address.ip()
     }
 
+    /// Hubs of each zone.
+    fn hubs(&self) -> BTreeMap<Zone, Vec<IpAddr>> {
+        let zone = &self.shared.settings.zone;
+        self.roster().hubs(self.own(), zone, Instant::now())
+    }
+
     /// Hubs of all zones but this entry.
     fn all_hubs(&self) -> Vec<IpAddr> {
         let own = self.own();
-        let zone = &self.shared.settings.zone;
-        let hubs = self.roster().hubs(own, zone, Instant::now());
-        let addresses = hubs.into_values().flatten();
+        let addresses = self.hubs().into_values().flatten();
         addresses.filter(|address| *address != own).collect()
     }
 
@@ -205,8 +210,7 @@
     fn zone_hubs(&self) -> Vec<IpAddr> {
         let own = self.own();
         let zone = &self.shared.settings.zone;
-        let mut hubs = self.roster().hubs(own, zone, Instant::now());
-        let addresses = hubs.remove(zone).unwrap_or_default();
+        let addresses = self.hubs().remove(zone).unwrap_or_default();
         addresses
             .into_iter()
             .filter(|address| *address != own)
@@ -265,7 +269,7 @@
         let (stated, rest) = {
             let statements = self.shared.statements.lock();
             let mut statements = statements.unwrap_or_else(PoisonError::into_inner);
-            statements.divide(members.clone())
+            statements.divide(&members)
         };
         if stated.len() <= MEMBERS {
             let digest = Datagram::Digest(Digest {
@@ -278,9 +282,9 @@
             self.send_members(&members, beat.news, &receivers).await;
         }
         if everywhere {
-            let local = self.zone_hubs();
-            let mut remote = self.all_hubs();
-            remote.retain(|hub| !local.contains(hub));
+            let mut hubs = self.hubs();
+            hubs.remove(&beat.zone);
+            let remote: Vec<IpAddr> = hubs.into_values().flatten().collect();
             self.send_members(&members, beat.news, &remote).await;
         }
     }
@@ -305,7 +309,7 @@
         self.send_members(&foreign, news, &self.neighbours()).await;
     }
 
-    /// Entries of this entry's zone, itself included.
+    /// Entries of this entry's zone, itself included, sorted by address.
     fn members(&self, beat: &Beat) -> Vec<Member> {
         let now = Instant::now();
         let roster = self.roster();
@@ -314,6 +318,7 @@
             .map(|(address, peer)| member(address, peer, now))
             .collect();
         members.push(member(self.own(), &Peer::from((beat, now)), now));
+        members.sort_unstable_by_key(|member| member.address);
         members
     }
 
