--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -11,6 +11,10 @@
 /// Largest number of header fields in one message.
 const MAX_HEADER_FIELDS: usize = 128;
 
+/// Longest idle time-out of a peer that is taken into account. Longer ones make
+/// no difference, and added to the clock they could overflow.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_hours(1);
+
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 const TE: HeaderName = HeaderName::from_static("te");
@@ -173,7 +177,8 @@
     let seconds = text
         .split(',')
         .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let timeout = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(timeout.min(MAX_IDLE_TIMEOUT))
 }
 
 /// Removes the hop-by-hop fields and the fields that frame the message:
--- a/crates/placement/src/candidate.rs
+++ b/crates/placement/src/candidate.rs
@@ -40,6 +40,9 @@
 /// one.
 const MAX_PROBE_DOUBLINGS: u32 = 6;
 
+/// Longest warm-up time that is taken into account.
+const MAX_WARMUP: Duration = Duration::from_mins(10);
+
 /// Largest number of unanswered probes that count in the cost of a target; with
 /// them the target is as costly as a slow one.
 const MAX_UNANSWERED_PROBES: u32 = 4;
@@ -118,7 +121,7 @@
 
 impl Candidate {
     pub(crate) fn new(endpoint: Endpoint, local: bool, untried: bool, now: Instant) -> Self {
-        let warmup_until = now + endpoint.warmup;
+        let warmup_until = now + endpoint.warmup.min(MAX_WARMUP);
         Self {
             endpoint,
             local,
@@ -134,7 +137,7 @@
 
     /// Applies a newer registration of the same process.
     pub(crate) fn update(&mut self, endpoint: Endpoint, now: Instant) {
-        self.warmup_until = now + endpoint.warmup;
+        self.warmup_until = now + endpoint.warmup.min(MAX_WARMUP);
         self.endpoint = endpoint;
     }
 
@@ -237,7 +240,7 @@
             return own;
         };
         let age = now.saturating_duration_since(report.received);
-        let total = report.load.running + report.load.waiting;
+        let total = report.load.running.saturating_add(report.load.waiting);
         let foreign = f64::from(total.saturating_sub(report.own_in_flight));
         // This entry does not see requests of other entries end, so their number
         // decays with the age of the report.
