Honour targets that state that they are leaving or want a pause

Cause: an entry read from a response only the load of its target. A target that stated that it leaves got requests until the store removed it, and one that asked for a pause got the next request at once.

Change: the pool keeps the statements of targets by process (id, start and address). They outlast a registration that is older, expires or returns, and end with the process. A leaving target gets no requests, probes or hedges; one that pauses gets none until the end of the pause. While all targets pause, a request waits if the first pause ends in time for it, and is refused at once with the time of that end otherwise. Statements are not sent to other entries: a target repeats them in every response, also to probes, and a pause applies to one entry.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use carobdrift_http1::{Connection, ExchangeError, Response, encode_request};
 use carobdrift_placement::Outcome;
+use http::StatusCode;
 use tokio::time::Instant;
 
 use crate::call::Call;
@@ -153,11 +154,13 @@
             call.undo_dispatch();
         }
         let response = result?;
-        if let Some(load) = self.dialect.load(&response.headers) {
-            self.services.record_load(endpoint, load);
-        }
         let echoed_id = self.dialect.attempt_id(&response.headers);
         let mismatched = echoed_id.is_some() && echoed_id != call.id.as_deref();
+        // A response to another attempt may come from an earlier use of the
+        // connection, and one with status 421 from another target.
+        if !mismatched && response.status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_statements(endpoint, &response);
+        }
         if !mismatched
             && self
                 .dialect
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -30,6 +30,14 @@
     /// Returns the load that a target reports about itself.
     fn load(&self, headers: &HeaderMap) -> Option<Load>;
 
+    /// Whether a response states that the target that sent it is leaving and
+    /// accepts no new requests.
+    fn is_leaving(&self, headers: &HeaderMap) -> bool;
+
+    /// Returns the time for which a target that refuses a request wants no further
+    /// ones.
+    fn retry_after(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration>;
+
     /// Returns the id of the target that answered.
     fn target_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -173,10 +173,31 @@
     pub(crate) fn accepts(&self, endpoint: &Endpoint) -> bool {
         let accepts = self
             .services
-            .with_pool(&endpoint.service, |pool, _| pool.accepts(endpoint));
+            .with_pool(&endpoint.service, |pool, now| pool.accepts(endpoint, now));
         accepts == Some(true)
     }
 
+    /// Records what a response of a target states about the target: its load, that
+    /// it is leaving, or that it wants no requests for some time.
+    pub(crate) fn record_statements(&self, endpoint: &Endpoint, response: &Response) {
+        let headers = &response.headers;
+        if let Some(load) = self.dialect.load(headers) {
+            self.services.record_load(endpoint, load);
+        }
+        if self.dialect.is_leaving(headers) && self.services.mark_leaving(endpoint) {
+            log::info!(target: "target", "event=leaving target={} source=answer", endpoint.id);
+            self.upstreams.remove(&endpoint.id);
+        }
+        if let Some(pause) = self.dialect.retry_after(response.status, headers) {
+            log::info!(
+                target: "target",
+                "event=paused target={} ms={}",
+                endpoint.id, pause.as_millis()
+            );
+            self.services.pause(endpoint, pause);
+        }
+    }
+
     fn limits(&self) -> carobdrift_routing::Limits {
         let table = self.table.load();
         let limits = table.as_ref().map(|table| table.state().limits);
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -227,7 +227,11 @@
                         probed.clear();
                     }
                 }
-                Some((Choice::Saturated, ..)) => {
+                Some((Choice::Paused(until), ..)) if until >= limits.queue_deadline => {
+                    let pause = until.saturating_duration_since(Instant::now());
+                    return Err(Refusal::Paused(pause));
+                }
+                Some((Choice::Saturated | Choice::Paused(_), ..)) => {
                     if waiter.wait(&limits).await? {
                         probed.clear();
                     }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -109,11 +109,9 @@
         if responder.is_some_and(|id| id != endpoint.id.as_str()) {
             return Some(Outcome::Unreachable);
         }
+        self.record_statements(endpoint, &response);
         Some(match self.dialect.load(&response.headers) {
-            Some(load) => {
-                self.services.record_load(endpoint, load);
-                Outcome::Load
-            }
+            Some(_) => Outcome::Load,
             None => Outcome::NoLoad,
         })
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -24,6 +24,9 @@
     NoTarget,
     /// No target had a free slot in time. Not executed.
     Busy,
+    /// All targets asked for a pause, the shortest of which lasts for this time.
+    /// Not executed.
+    Paused(Duration),
     /// The targets that were tried refused to execute the request. Not executed.
     NotExecuted,
     /// A target may have executed the request, but its response is lost or is not
@@ -40,6 +43,7 @@
             Self::NoRoute => "no-route",
             Self::NoTarget => "no-target",
             Self::Busy => "busy",
+            Self::Paused(_) => "paused",
             Self::NotExecuted => "not-executed",
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
@@ -53,6 +57,7 @@
             Self::NoTarget | Self::Busy | Self::NotExecuted => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY_AFTER))
             }
+            Self::Paused(pause) => (StatusCode::SERVICE_UNAVAILABLE, Some(pause)),
             Self::Broken => (StatusCode::BAD_GATEWAY, None),
             Self::TimedOut => (StatusCode::GATEWAY_TIMEOUT, None),
         };
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -163,6 +163,22 @@
         self.lock().wake_first(&endpoint.service);
     }
 
+    /// Records that a target stated that it is leaving. Returns whether this was
+    /// not known.
+    pub(crate) fn mark_leaving(&self, endpoint: &Endpoint) -> bool {
+        let is_new = self.with_pool(&endpoint.service, |pool, now| {
+            pool.mark_leaving(endpoint, now)
+        });
+        is_new == Some(true)
+    }
+
+    /// Records that a target wants no requests for some time.
+    pub(crate) fn pause(&self, endpoint: &Endpoint, pause: Duration) {
+        self.with_pool(&endpoint.service, |pool, now| {
+            pool.pause(endpoint, now + pause, now);
+        });
+    }
+
     /// Ends an attempt. The duration of a successful attempt updates the estimate
     /// of the route.
     pub(crate) fn end_attempt(
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,7 @@
 mod pool;
 mod queue;
 mod report;
+mod statement;
 
 pub use budget::Budget;
 pub use candidate::{Endpoint, Lifecycle};
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -8,6 +8,7 @@
 
 use crate::candidate::{Baseline, Candidate, Endpoint, Lifecycle};
 use crate::report::{Load, Outcome, Snapshot};
+use crate::statement::Statements;
 
 /// Age up to which a report decides without a probe. The speed of a target
 /// changes about every 150 ms, so a report of this age is right nine times out
@@ -90,6 +91,9 @@
     Slow,
     /// No target would answer in time.
     Saturated,
+    /// All targets that could be used asked for a pause; the first pause ends at
+    /// this time.
+    Paused(Instant),
     /// No target accepts requests.
     NoTarget,
 }
@@ -99,6 +103,7 @@
 pub struct Pool {
     zone: Zone,
     candidates: HashMap<Target, Candidate>,
+    statements: Statements,
     baseline: Baseline,
     attempts: u64,
     first_added: Option<Instant>,
@@ -111,6 +116,7 @@
         Self {
             zone,
             candidates: HashMap::new(),
+            statements: Statements::default(),
             baseline: Baseline {
                 slowdown: INITIAL_SLOWDOWN,
                 request_time: INITIAL_REQUEST_TIME,
@@ -121,8 +127,12 @@
     }
 
     /// Adds a target or applies its new registration. A new process under the
-    /// same id starts without reports and failures.
-    pub fn put(&mut self, endpoint: Endpoint, now: Instant) {
+    /// same id starts without reports and failures. A target that stated that it
+    /// is leaving stays so until its process is replaced.
+    pub fn put(&mut self, mut endpoint: Endpoint, now: Instant) {
+        if self.statements.is_leaving(&endpoint) {
+            endpoint.lifecycle = Lifecycle::Draining;
+        }
         let local = endpoint.zone == self.zone;
         match self.candidates.get_mut(&endpoint.id) {
             Some(candidate)
@@ -164,13 +174,36 @@
     /// Whether the target's current process is that of `endpoint` and accepts
     /// new requests.
     #[must_use]
-    pub fn accepts(&self, endpoint: &Endpoint) -> bool {
+    pub fn accepts(&self, endpoint: &Endpoint, now: Instant) -> bool {
         self.candidates.get(&endpoint.id).is_some_and(|candidate| {
             candidate.endpoint.started_ms == endpoint.started_ms
                 && candidate.endpoint.lifecycle == Lifecycle::Ready
+                && self
+                    .statements
+                    .paused_until(&candidate.endpoint, now)
+                    .is_none()
         })
     }
 
+    /// Records the statement of a target that it is leaving. It gets no new
+    /// requests. Returns whether this was not known.
+    pub fn mark_leaving(&mut self, endpoint: &Endpoint, now: Instant) -> bool {
+        self.statements.record_leaving(endpoint, now);
+        let Some(candidate) = self.candidates.get_mut(&endpoint.id) else {
+            return false;
+        };
+        let known = &mut candidate.endpoint;
+        if known.started_ms != endpoint.started_ms || known.address != endpoint.address {
+            return false;
+        }
+        std::mem::replace(&mut known.lifecycle, Lifecycle::Draining) == Lifecycle::Ready
+    }
+
+    /// Records that a target wants neither requests nor probes until a time.
+    pub fn pause(&mut self, endpoint: &Endpoint, until: Instant, now: Instant) {
+        self.statements.record_pause(endpoint, until, now);
+    }
+
     /// Chooses a target for a request.
     pub fn choose(&mut self, criteria: Criteria<'_>, now: Instant) -> Choice {
         let choice = self.evaluate(criteria, now);
@@ -187,7 +220,10 @@
     fn evaluate(&self, criteria: Criteria<'_>, now: Instant) -> Choice {
         let mut ranked = self.rank(criteria, now);
         let Some(&(_, best)) = ranked.first() else {
-            return Choice::NoTarget;
+            return match self.first_pause_end(criteria, now) {
+                Some(until) => Choice::Paused(until),
+                None => Choice::NoTarget,
+            };
         };
         if !criteria.immediate
             && let Some(choice) = self.try_new_target(criteria, now)
@@ -244,6 +280,7 @@
             candidate.is_untried(now)
                 && candidate.is_usable(now)
                 && !candidate.is_on_probation()
+                && !self.is_paused(candidate, now)
                 && !criteria.tried.contains(&candidate.endpoint.id)
         });
         untried.find_map(|candidate| {
@@ -312,7 +349,11 @@
     #[must_use]
     pub fn has_suitable(&self, now: Instant) -> bool {
         let mut candidates = self.candidates.values();
-        candidates.any(|candidate| candidate.is_usable(now) && self.is_suitable(candidate, now))
+        candidates.any(|candidate| {
+            candidate.is_usable(now)
+                && !self.is_paused(candidate, now)
+                && self.is_suitable(candidate, now)
+        })
     }
 
     /// Records that a target did not answer a probe.
@@ -345,6 +386,23 @@
             && candidate.slowdown(self.baseline, now) <= MAX_FAST_SLOWDOWN
     }
 
+    /// Whether a target asked for a pause that is not over.
+    fn is_paused(&self, candidate: &Candidate, now: Instant) -> bool {
+        let until = self.statements.paused_until(&candidate.endpoint, now);
+        until.is_some()
+    }
+
+    /// Returns the time at which the first pause of a ready target ends.
+    fn first_pause_end(&self, criteria: Criteria<'_>, now: Instant) -> Option<Instant> {
+        let ready = self.candidates.values().filter(|candidate| {
+            candidate.endpoint.lifecycle == Lifecycle::Ready
+                && !criteria.tried.contains(&candidate.endpoint.id)
+        });
+        ready
+            .filter_map(|candidate| self.statements.paused_until(&candidate.endpoint, now))
+            .min()
+    }
+
     /// Returns the usable targets, lowest cost first. Falls back to ejected
     /// targets if no other is left.
     fn rank(&self, criteria: Criteria<'_>, now: Instant) -> Vec<(f64, &Candidate)> {
@@ -354,6 +412,7 @@
         for candidate in self.candidates.values() {
             if candidate.endpoint.lifecycle != Lifecycle::Ready
                 || criteria.tried.contains(&candidate.endpoint.id)
+                || self.is_paused(candidate, now)
             {
                 continue;
             }
--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod pool;
 mod queue;
 mod simulation;
+mod statement;
--- a/crates/placement/tests/all/pool.rs
+++ b/crates/placement/tests/all/pool.rs
@@ -203,7 +203,7 @@
         ..criteria()
     };
     assert_eq!(pool.choose(immediate, now), Choice::NoTarget);
-    assert!(!pool.accepts(&draining));
+    assert!(!pool.accepts(&draining, now));
 }
 
 /// Guards against a new process that inherits the reports and failures of its
@@ -222,8 +222,8 @@
     pool.put(after.clone(), now);
 
     assert_eq!(probed(pool.choose(criteria(), now)), [target("a")]);
-    assert!(pool.accepts(&after));
-    assert!(!pool.accepts(&before));
+    assert!(pool.accepts(&after, now));
+    assert!(!pool.accepts(&before, now));
 }
 
 /// Guards against preference for a failing target: a target that fails fast looks
