Relay large responses while they arrive

Cause: an entry held each response completely, up to 64 MiB, on machines with 160 MB, and passed it on only when it was complete. A target that sent a body without end filled the memory of the entry until the deadline.

Change: the first 64 KiB of a response are read before it is passed on, so that a response that breaks off within them can be replaced by one of another target. The rest is read at the pace of the caller, part by part. A rest that breaks off, exceeds its length or outlasts the deadline breaks the response off: by a missing rest, a missing last chunk, or a reset for a caller without chunks. Informational responses and trailers are limited in number and size. A connection serves the requests behind a streamed response meanwhile; a response that is given up is no longer followed by a graceful shutdown, which could make it look complete.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,16 +11,22 @@
 use crate::call::Call;
 use crate::gateway::Gateway;
 use crate::place::Placement;
+use crate::relay;
 
 /// Idle time up to which a kept connection is reused for a non-idempotent
 /// request. The target may reset a connection that was idle for longer, and the
 /// outcome of the request would be unknown.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(1500);
 
+/// Size of the first part of a response's body, which is read before the response
+/// is passed on. A response that breaks off within this part can be replaced by
+/// one of another target; a larger part would cost memory.
+const RESPONSE_WINDOW_BYTES: usize = 64 * 1024;
+
 /// Completion of an attempt.
 #[derive(Debug)]
 pub(crate) enum Completion {
-    /// The target answered.
+    /// The target answered. The rest of a large response is still to come.
     Answered(Response),
     /// The target states that it did not execute the request.
     NotExecuted,
@@ -109,6 +115,10 @@
                 return Completion::Withdrawn;
             }
             match self.exchange(call, placement, &mut connection).await {
+                Ok(Completion::Answered(mut response)) if connection.is_within_response() => {
+                    response.rest = Some(relay::rest(self, call, endpoint, connection));
+                    return Completion::Answered(response);
+                }
                 Ok(completion) => {
                     self.upstreams.put(endpoint, connection);
                     return completion;
@@ -135,7 +145,8 @@
         }
     }
 
-    /// Sends the request over a connection and classifies the response.
+    /// Sends the request over a connection and classifies the response, once it is
+    /// complete or its first part was read.
     async fn exchange(
         &self,
         call: &Call,
@@ -146,10 +157,12 @@
         let mut headers = call.headers.clone();
         self.dialect
             .set_target_headers(&mut headers, call.remaining(), &endpoint.id);
-        let bytes = encode_request(&call.method, &call.target, &headers, &call.body);
+        let bytes = encode_request(&call.method, &call.target, &headers, &call.body).freeze();
         call.begin_dispatch();
         let mut sent = 0;
-        let result = connection.exchange(&call.method, &bytes, &mut sent).await;
+        let result = connection
+            .start(&call.method, bytes, RESPONSE_WINDOW_BYTES, &mut sent)
+            .await;
         if sent == 0 {
             call.undo_dispatch();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod place;
 mod probe;
 mod refusal;
+mod relay;
 mod services;
 mod upstream;
 
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use carobdrift_http1::{Connection, encode_request};
 use carobdrift_placement::Endpoint;
 use http::header::HOST;
@@ -13,6 +14,9 @@
 /// it.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Size from which the body of a response to a probe is not read.
+const MAX_BODY_BYTES: usize = 16 * 1024;
+
 /// Outcome of a probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -72,7 +76,7 @@
         if let Ok(host) = HeaderValue::try_from(endpoint.address.to_string()) {
             headers.insert(HOST, host);
         }
-        let bytes = encode_request(&Method::GET, path, &headers, &[]);
+        let bytes = encode_request(&Method::GET, path, &headers, &[]).freeze();
         let kept = self.upstreams.take(endpoint, Duration::MAX);
         let reused = kept.is_some();
         let mut connection = match kept {
@@ -82,7 +86,7 @@
                 Err(_) => return Outcome::Unreachable,
             },
         };
-        match self.read_load(endpoint, &mut connection, &bytes).await {
+        match self.read_load(endpoint, &mut connection, bytes).await {
             Some(outcome) => {
                 self.upstreams.put(endpoint, connection);
                 outcome
@@ -98,13 +102,16 @@
         &self,
         endpoint: &Endpoint,
         connection: &mut Connection,
-        bytes: &[u8],
+        bytes: Bytes,
     ) -> Option<Outcome> {
         let mut sent = 0;
         let response = connection
-            .exchange(&Method::GET, bytes, &mut sent)
+            .start(&Method::GET, bytes, MAX_BODY_BYTES, &mut sent)
             .await
             .ok()?;
+        if connection.is_within_response() {
+            return Some(Outcome::NoLoad);
+        }
         let responder = self.dialect.target_id(&response.headers);
         if responder.is_some_and(|id| id != endpoint.id.as_str()) {
             return Some(Outcome::Unreachable);
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -163,6 +163,13 @@
         self.lock().wake_first(&endpoint.service);
     }
 
+    /// Records that a target broke off a response after its attempt had ended.
+    pub(crate) fn record_failure(&self, endpoint: &Endpoint) {
+        self.with_pool(&endpoint.service, |pool, now| {
+            pool.record_failure(endpoint, now);
+        });
+    }
+
     /// Records that a target stated that it is leaving. Returns whether this was
     /// not known.
     pub(crate) fn mark_leaving(&self, endpoint: &Endpoint) -> bool {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -25,9 +25,6 @@
 /// the connection to be reused.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
-/// Largest body of a response.
-const MAX_RESPONSE_BYTES: u64 = 64 * 1024 * 1024;
-
 /// Idle connections by target. The key includes the start of the target's
 /// process, because another process may reuse an address and even an id.
 #[derive(Debug)]
@@ -65,7 +62,8 @@
     /// Opens a connection.
     pub(crate) async fn open(&self, endpoint: &Endpoint) -> Result<Connection, OpenError> {
         self.opened.inc();
-        Connection::open(endpoint.address, CONNECT_TIMEOUT, MAX_RESPONSE_BYTES).await
+        // Responses are relayed in parts, so their size is not limited.
+        Connection::open(endpoint.address, CONNECT_TIMEOUT, u64::MAX).await
     }
 
     /// Keeps a connection for reuse after a complete exchange.
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -21,13 +21,19 @@
     Close,
 }
 
-/// Decoder that collects one body from the bytes of a connection.
+/// Decoder of one body from the bytes of a connection.
 #[derive(Debug)]
 pub(crate) struct Decoder {
     framing: Framing,
+    /// Largest body, in bytes.
     limit: u64,
+    /// Bytes of the body that were decoded, whether taken or not.
+    decoded: u64,
+    /// Decoded bytes that were not taken yet.
     collected: BytesMut,
     expected: Element,
+    /// Bytes of the trailer section so far.
+    trailer: usize,
 }
 
 /// Element of a chunked body that is expected next.
@@ -54,59 +60,74 @@
         Ok(Self {
             framing,
             limit,
+            decoded: 0,
             collected: BytesMut::new(),
             expected: Element::Size,
+            trailer: 0,
         })
     }
 
-    /// Consumes the bytes of the body from `buffer`; returns the body once it
-    /// is complete.
-    pub(crate) fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, ReadError> {
+    /// Consumes the bytes of the body from `buffer`; returns whether the body is
+    /// complete.
+    pub(crate) fn decode(&mut self, buffer: &mut BytesMut) -> Result<bool, ReadError> {
         match self.framing {
             Framing::Length(length) => {
-                let length = usize::try_from(length).map_err(|_| ReadError::BodyTooLarge)?;
-                if self.collected.is_empty() && buffer.len() >= length {
-                    return Ok(Some(buffer.split_to(length).freeze()));
-                }
-                let missing = length - self.collected.len();
+                let missing = usize::try_from(length - self.decoded).unwrap_or(usize::MAX);
                 let part = buffer.split_to(missing.min(buffer.len()));
-                self.collected.extend_from_slice(&part);
-                Ok((self.collected.len() == length).then(|| self.finish()))
+                self.append(part)?;
+                Ok(self.decoded == length)
             }
             Framing::Chunked => self.decode_chunked(buffer),
             Framing::Close => {
-                let part = buffer.split();
-                self.append(&part)?;
-                Ok(None)
+                self.append(buffer.split())?;
+                Ok(false)
             }
         }
     }
 
-    /// Returns the body after the connection closed; `None` when the body is
-    /// incomplete.
-    pub(crate) fn close(&mut self) -> Option<Bytes> {
-        (self.framing == Framing::Close).then(|| self.finish())
+    /// Returns whether the body is complete once the connection closed.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::Close
+    }
+
+    /// Returns the number of decoded bytes that were not taken yet.
+    pub(crate) fn collected(&self) -> usize {
+        self.collected.len()
     }
 
-    fn finish(&mut self) -> Bytes {
+    /// Takes the decoded bytes.
+    pub(crate) fn take(&mut self) -> Bytes {
         self.collected.split().freeze()
     }
 
-    fn append(&mut self, part: &[u8]) -> Result<(), ReadError> {
-        let length = self.collected.len() + part.len();
-        if u64::try_from(length).unwrap_or(u64::MAX) > self.limit {
+    /// Returns the number of bytes that are not decoded yet, if the framing
+    /// states it.
+    pub(crate) fn remaining(&self) -> Option<u64> {
+        match self.framing {
+            Framing::Length(length) => Some(length - self.decoded),
+            Framing::Chunked | Framing::Close => None,
+        }
+    }
+
+    fn append(&mut self, part: BytesMut) -> Result<(), ReadError> {
+        self.decoded += u64::try_from(part.len()).unwrap_or(u64::MAX);
+        if self.decoded > self.limit {
             return Err(ReadError::BodyTooLarge);
         }
-        self.collected.extend_from_slice(part);
+        if self.collected.is_empty() {
+            self.collected = part;
+        } else {
+            self.collected.extend_from_slice(&part);
+        }
         Ok(())
     }
 
-    fn decode_chunked(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>, ReadError> {
+    fn decode_chunked(&mut self, buffer: &mut BytesMut) -> Result<bool, ReadError> {
         loop {
             match self.expected {
                 Element::Size => {
                     let Some((line_length, size)) = parse_chunk_size_line(buffer)? else {
-                        return Ok(None);
+                        return Ok(false);
                     };
                     let _ = buffer.split_to(line_length);
                     self.expected = if size == 0 {
@@ -118,15 +139,15 @@
                 Element::Data(0) => self.expected = Element::DataEnd,
                 Element::Data(missing) => {
                     if buffer.is_empty() {
-                        return Ok(None);
+                        return Ok(false);
                     }
                     let part = buffer.split_to(missing.min(buffer.len()));
-                    self.append(&part)?;
                     self.expected = Element::Data(missing - part.len());
+                    self.append(part)?;
                 }
                 Element::DataEnd => {
                     if buffer.len() < 2 {
-                        return Ok(None);
+                        return Ok(false);
                     }
                     if buffer.split_to(2) != b"\r\n"[..] {
                         return Err(ReadError::Malformed("chunk"));
@@ -134,15 +155,18 @@
                     self.expected = Element::Size;
                 }
                 Element::Trailer => {
-                    let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
-                        if buffer.len() > MAX_TRAILER_BYTES {
-                            return Err(ReadError::HeadTooLarge);
-                        }
-                        return Ok(None);
+                    let end = buffer.windows(2).position(|pair| pair == b"\r\n");
+                    let length = end.map_or(buffer.len(), |end| end + 2);
+                    if self.trailer + length > MAX_TRAILER_BYTES {
+                        return Err(ReadError::HeadTooLarge);
+                    }
+                    let Some(end) = end else {
+                        return Ok(false);
                     };
-                    let _ = buffer.split_to(end + 2);
+                    self.trailer += length;
+                    let _ = buffer.split_to(length);
                     if end == 0 {
-                        return Ok(Some(self.finish()));
+                        return Ok(true);
                     }
                 }
             }
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::{Buf, Bytes};
 use http::Method;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
@@ -61,6 +62,11 @@
     /// Time at which the peer will close the idle connection, if announced.
     expiry: Option<Instant>,
     reusable: bool,
+    /// Part of the request that was not sent yet.
+    unsent: Bytes,
+    /// What the peer stated about the connection in the response that is being
+    /// read: whether it stays open, and for how long while it is idle.
+    persistence: (bool, Option<Duration>),
 }
 
 impl Connection {
@@ -94,6 +100,8 @@
             last_used: Instant::now(),
             expiry: None,
             reusable: true,
+            unsent: Bytes::new(),
+            persistence: (false, None),
         })
     }
 
@@ -129,49 +137,124 @@
         method: &Method,
         request: &[u8],
         sent: &mut usize,
+    ) -> Result<Response, ExchangeError> {
+        let request = Bytes::copy_from_slice(request);
+        self.start(method, request, usize::MAX, sent).await
+    }
+
+    /// Sends an encoded request like [`exchange`](Self::exchange), and reads the
+    /// response until it is complete or `window` bytes of its body were read.
+    /// [`next_part`](Self::next_part) reads the rest.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends before that; the error states whether the
+    /// request can have reached the peer.
+    pub async fn start(
+        &mut self,
+        method: &Method,
+        request: Bytes,
+        window: usize,
+        sent: &mut usize,
     ) -> Result<Response, ExchangeError> {
         self.reusable = false;
+        self.unsent = request;
         *sent = 0;
-        let result = {
-            let write = write_request(&mut self.writer, request, sent);
-            let read = self.reader.response(method);
-            tokio::pin!(write, read);
+        let mut write_error = None;
+        let result = loop {
+            let read = self.reader.response(method, window);
             tokio::select! {
                 biased;
-                written = &mut write => match written {
-                    Ok(()) => read.await.map(|response| (response, true)),
-                    // The peer may have sent a response before it closed the
-                    // connection.
-                    Err(error) => match read.await {
-                        Ok(response) => Ok((response, false)),
-                        Err(_) => Err(ReadError::Io(error)),
-                    },
-                },
-                response = &mut read => response.map(|response| (response, false)),
+                written = self.writer.write(&self.unsent), if !self.unsent.is_empty() => {
+                    match written {
+                        Ok(count) if count > 0 => {
+                            *sent += count;
+                            self.unsent.advance(count);
+                        }
+                        // The peer may have sent a response before it closed the
+                        // connection.
+                        Ok(_) => {
+                            self.unsent.clear();
+                            write_error = Some(io::ErrorKind::WriteZero.into());
+                        }
+                        Err(error) => {
+                            self.unsent.clear();
+                            write_error = Some(error);
+                        }
+                    }
+                }
+                response = read => break response,
             }
         };
-        let (response, request_complete) =
-            result.map_err(|cause| ExchangeError { sent: *sent, cause })?;
-        self.last_used = Instant::now();
-        self.expiry = response
-            .idle_timeout
-            .map(|timeout| self.last_used + timeout);
-        self.reusable = request_complete && response.keep_alive;
+        let response = match (result, &mut write_error) {
+            (Ok(response), _) => response,
+            (Err(cause), error) => {
+                let cause = error.take().map_or(cause, ReadError::Io);
+                return Err(ExchangeError { sent: *sent, cause });
+            }
+        };
+        self.persistence = (
+            response.keep_alive && write_error.is_none(),
+            response.idle_timeout,
+        );
+        if !self.is_within_response() {
+            self.finish();
+        }
         Ok(response)
     }
-}
 
-async fn write_request(
-    writer: &mut OwnedWriteHalf,
-    request: &[u8],
-    sent: &mut usize,
-) -> io::Result<()> {
-    while *sent < request.len() {
-        let count = writer.write(&request[*sent..]).await?;
-        if count == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
+    /// Reads the next part of the body of a response that was started; returns
+    /// `None` once the body is complete. Cancel-safe.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends before the body is complete, or its framing
+    /// is not valid.
+    pub async fn next_part(&mut self) -> Result<Option<Bytes>, ReadError> {
+        loop {
+            let read = self.reader.response_part();
+            tokio::select! {
+                biased;
+                written = self.writer.write(&self.unsent), if !self.unsent.is_empty() => {
+                    match written {
+                        Ok(count) if count > 0 => self.unsent.advance(count),
+                        Ok(_) | Err(_) => {
+                            self.unsent.clear();
+                            self.persistence.0 = false;
+                        }
+                    }
+                }
+                part = read => {
+                    let part = part?;
+                    if !self.is_within_response() {
+                        self.finish();
+                    }
+                    return Ok(part);
+                }
+            }
         }
-        *sent += count;
     }
-    Ok(())
+
+    /// Returns whether a response was started and its body is incomplete.
+    #[must_use]
+    pub fn is_within_response(&self) -> bool {
+        self.reader.is_within_response()
+    }
+
+    /// Returns the number of bytes that are missing of the body of the response,
+    /// if it states its length.
+    #[must_use]
+    pub fn remaining(&self) -> Option<u64> {
+        self.reader.response_remaining()
+    }
+
+    /// Ends an exchange whose response is complete. The connection cannot be
+    /// reused if a part of the request was not sent.
+    fn finish(&mut self) {
+        let (keep_alive, idle_timeout) = self.persistence;
+        self.last_used = Instant::now();
+        self.expiry = idle_timeout.map(|timeout| self.last_used + timeout);
+        self.reusable = keep_alive && self.unsent.is_empty();
+        self.unsent.clear();
+    }
 }
--- a/crates/http1/src/encode.rs
+++ b/crates/http1/src/encode.rs
@@ -1,8 +1,9 @@
-//! Encoding of messages. Every body is framed by `Content-Length`.
+//! Encoding of messages.
 
 use bytes::{BufMut, BytesMut};
 use http::{HeaderMap, Method, StatusCode};
 
+use crate::body::Framing;
 use crate::message::Response;
 
 /// Encodes a request with its body.
@@ -17,16 +18,18 @@
     let expects_body =
         *method == Method::POST || *method == Method::PUT || *method == Method::PATCH;
     if expects_body || !body.is_empty() {
-        encode_content_length(&mut bytes, body.len());
+        let length = u64::try_from(body.len()).unwrap_or(u64::MAX);
+        encode_content_length(&mut bytes, length);
     }
     bytes.put_slice(b"\r\n");
     bytes.put_slice(body);
     bytes
 }
 
-/// Encodes a response, with its body, to a request with the given method.
-#[must_use]
-pub fn encode_response(response: &Response, method: &Method) -> BytesMut {
+/// Encodes a response, with the part of its body that is known, to a request with
+/// the given method. `framing` delimits the body; with [`Framing::Length`] it holds
+/// the length of the part that is not known yet.
+pub(crate) fn encode_response(response: &Response, method: &Method, framing: Framing) -> BytesMut {
     let mut bytes = BytesMut::with_capacity(256 + response.body.len());
     bytes.put_slice(b"HTTP/1.1 ");
     bytes.put_slice(response.status.as_str().as_bytes());
@@ -41,15 +44,36 @@
     let bodiless =
         response.status == StatusCode::NO_CONTENT || response.status == StatusCode::NOT_MODIFIED;
     if !bodiless {
-        encode_content_length(&mut bytes, response.body.len());
+        match framing {
+            Framing::Length(rest) => {
+                let known = u64::try_from(response.body.len()).unwrap_or(u64::MAX);
+                encode_content_length(&mut bytes, known.saturating_add(rest));
+            }
+            Framing::Chunked => bytes.put_slice(b"transfer-encoding: chunked\r\n"),
+            Framing::Close => {}
+        }
     }
     bytes.put_slice(b"\r\n");
     if !bodiless && *method != Method::HEAD {
-        bytes.put_slice(&response.body);
+        if framing == Framing::Chunked {
+            encode_chunk(&mut bytes, &response.body);
+        } else {
+            bytes.put_slice(&response.body);
+        }
     }
     bytes
 }
 
+/// Encodes a part of a body as a chunk. An empty part is left out, since an empty
+/// chunk ends the body.
+pub(crate) fn encode_chunk(bytes: &mut BytesMut, part: &[u8]) {
+    if !part.is_empty() {
+        bytes.put_slice(format!("{:x}\r\n", part.len()).as_bytes());
+        bytes.put_slice(part);
+        bytes.put_slice(b"\r\n");
+    }
+}
+
 fn encode_headers(bytes: &mut BytesMut, headers: &HeaderMap) {
     for (name, value) in headers {
         bytes.put_slice(name.as_str().as_bytes());
@@ -59,7 +83,7 @@
     }
 }
 
-fn encode_content_length(bytes: &mut BytesMut, length: usize) {
+fn encode_content_length(bytes: &mut BytesMut, length: u64) {
     bytes.put_slice(b"content-length: ");
     bytes.put_slice(length.to_string().as_bytes());
     bytes.put_slice(b"\r\n");
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -28,6 +28,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) framing: Framing,
     pub(crate) keep_alive: bool,
+    /// Whether the version of the message is HTTP/1.1.
+    pub(crate) http11: bool,
 }
 
 /// Head of a response.
@@ -60,7 +62,8 @@
     let mut headers = header_map(request.headers)?;
     let stated_framing = framing_of(&headers)?;
     let framing = stated_framing.unwrap_or(Framing::Length(0));
-    let keep_alive = keeps_alive(&headers, request.version == Some(1));
+    let http11 = request.version == Some(1);
+    let keep_alive = keeps_alive(&headers, http11);
     remove_hop_by_hop(&mut headers);
     let head = RequestHead {
         method,
@@ -68,6 +71,7 @@
         headers,
         framing,
         keep_alive,
+        http11,
     };
     Ok(Some((length, head)))
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -5,19 +5,21 @@
 //! holds bytes that belong to no exchange, and pipelined requests that are
 //! served concurrently and answered in order. [`listen`] serves connections
 //! with a [`Service`]; [`Connection`] is a client connection that carries one
-//! exchange at a time. Messages are fully buffered: bodies are read to their
-//! end, within limits.
+//! exchange at a time. Requests are fully buffered, within limits. The body of a
+//! response can be passed on while it arrives: its receiver's pace then
+//! determines how fast it is read.
 
 mod body;
 mod client;
 mod encode;
 mod head;
 mod message;
+mod output;
 mod reader;
 mod server;
 
 pub use client::{Connection, ExchangeError, OpenError};
-pub use encode::{encode_request, encode_response};
-pub use message::{Request, Response};
+pub use encode::encode_request;
+pub use message::{Request, Response, Rest};
 pub use reader::{Limits, ReadError, Reader};
 pub use server::{Service, listen, serve};
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -1,8 +1,11 @@
-//! Complete messages, with their bodies in memory.
+//! Messages.
 
+use std::fmt;
+use std::io;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::stream::BoxStream;
 use http::{HeaderMap, Method, StatusCode};
 use tokio::time::Instant;
 
@@ -19,25 +22,46 @@
     pub body: Bytes,
     /// Whether the sender keeps the connection open.
     pub keep_alive: bool,
+    /// Whether the sender understands the chunked transfer coding.
+    pub accepts_chunks: bool,
     /// Time at which the head was completely read.
     pub received: Instant,
 }
 
-/// Response to send, or a response that was read completely.
-#[derive(Debug, Clone)]
+/// Response to send, or one that was read.
+#[derive(Debug)]
 pub struct Response {
     /// Status code.
     pub status: StatusCode,
     /// Header fields, without those that frame the message.
     pub headers: HeaderMap,
-    /// Body.
+    /// Body, or its first part.
     pub body: Bytes,
+    /// Rest of the body of a response to send, if there is any.
+    pub rest: Option<Rest>,
     /// Whether the sender keeps the connection open.
     pub keep_alive: bool,
     /// Time for which the sender keeps an idle connection open, if announced.
     pub idle_timeout: Option<Duration>,
 }
 
+/// Rest of a body, which is sent as it arrives.
+pub struct Rest {
+    /// Number of bytes, if known.
+    pub length: Option<u64>,
+    /// Parts of the rest. After an error the response is broken off, so that its
+    /// receiver notices that it is incomplete.
+    pub parts: BoxStream<'static, io::Result<Bytes>>,
+}
+
+impl fmt::Debug for Rest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Rest")
+            .field("length", &self.length)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Request {
     /// Returns the path without the query.
     #[must_use]
@@ -60,6 +84,7 @@
             status,
             headers: HeaderMap::new(),
             body,
+            rest: None,
             keep_alive: true,
             idle_timeout: None,
         }
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -1,8 +1,8 @@
-//! Reading of complete messages from a connection.
+//! Reading of messages from a connection.
 
 use std::io;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use http::Method;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
@@ -13,6 +13,9 @@
 use crate::head::{self, RequestHead, ResponseHead};
 use crate::message::{Request, Response};
 
+/// Largest number of informational responses before a final one.
+const MAX_INFORMATIONAL_RESPONSES: usize = 16;
+
 /// Free capacity of the buffer before each read, in bytes.
 const READ_CAPACITY_BYTES: usize = 8 * 1024;
 
@@ -58,7 +61,17 @@
     /// Head of the request that is being read, its body, and the time at which
     /// the head was completely read.
     request: Option<(RequestHead, Decoder, Instant)>,
-    response: Option<(ResponseHead, Decoder)>,
+    response: Option<Incoming>,
+    /// Informational responses since the last final one.
+    informational: usize,
+}
+
+/// Response that is being read.
+#[derive(Debug)]
+struct Incoming {
+    /// Head, until it is returned with the first part of the body.
+    head: Option<ResponseHead>,
+    body: Decoder,
 }
 
 impl Reader {
@@ -72,6 +85,7 @@
             started_at: None,
             request: None,
             response: None,
+            informational: 0,
         }
     }
 
@@ -125,15 +139,21 @@
     }
 
     /// Reads the final response to a request with the given method;
-    /// informational responses are skipped.
+    /// informational responses are skipped. Returns as soon as the body is
+    /// complete or `window` bytes of it were read.
     ///
     /// # Errors
     ///
-    /// Fails when the connection closes before the response is complete, and
-    /// when the bytes are not a valid response within the limits.
-    pub async fn response(&mut self, method: &Method) -> Result<Response, ReadError> {
+    /// Fails when the connection closes before that, and when the bytes are not
+    /// a valid response within the limits.
+    pub(crate) async fn response(
+        &mut self,
+        method: &Method,
+        window: usize,
+    ) -> Result<Response, ReadError> {
         loop {
-            if let Some(response) = self.decode_response(method)? {
+            let complete = self.decode_response(method)?;
+            if let Some(response) = self.take_response(complete, window) {
                 return Ok(response);
             }
             if self.fill().await? == 0 {
@@ -142,6 +162,46 @@
         }
     }
 
+    /// Reads the next part of the body of a response whose first part was read;
+    /// returns `None` once the body is complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection closes before the body is complete, and when the
+    /// bytes are not a valid body.
+    pub(crate) async fn response_part(&mut self) -> Result<Option<Bytes>, ReadError> {
+        loop {
+            let Some(incoming) = &mut self.response else {
+                return Ok(None);
+            };
+            let complete = incoming.body.decode(&mut self.buffer)?;
+            let part = incoming.body.take();
+            if complete {
+                self.response = None;
+            }
+            if complete || !part.is_empty() {
+                return Ok((!part.is_empty()).then_some(part));
+            }
+            if self.fill().await? == 0 {
+                return match self.response.take() {
+                    Some(incoming) if incoming.body.ends_with_connection() => Ok(None),
+                    _ => Err(ReadError::Truncated),
+                };
+            }
+        }
+    }
+
+    /// Returns whether the first part of a response was read, but not the rest.
+    pub(crate) fn is_within_response(&self) -> bool {
+        self.response.is_some()
+    }
+
+    /// Returns the number of bytes of the response's body that are missing, if it
+    /// states its length.
+    pub(crate) fn response_remaining(&self) -> Option<u64> {
+        self.response.as_ref()?.body.remaining()
+    }
+
     /// Returns whether the idle connection is unusable: it received bytes that
     /// belong to no exchange, or it closed or failed. Does not block.
     #[must_use]
@@ -194,54 +254,77 @@
         let Some((_, decoder, _)) = &mut self.request else {
             return Ok(None);
         };
-        let Some(body) = decoder.decode(&mut self.buffer)? else {
+        if !decoder.decode(&mut self.buffer)? {
             return Ok(None);
-        };
+        }
         self.started_at = None;
-        Ok(self.request.take().map(|(head, _, received)| Request {
+        let request = self.request.take();
+        Ok(request.map(|(head, mut decoder, received)| Request {
             method: head.method,
             target: head.target,
             headers: head.headers,
-            body,
+            body: decoder.take(),
             keep_alive: head.keep_alive,
+            accepts_chunks: head.http11,
             received,
         }))
     }
 
-    fn decode_response(&mut self, method: &Method) -> Result<Option<Response>, ReadError> {
+    /// Decodes the response as far as it was received; returns whether it is
+    /// complete.
+    fn decode_response(&mut self, method: &Method) -> Result<bool, ReadError> {
         while self.response.is_none() {
             let Some((length, head)) = head::parse_response(&self.buffer, method)? else {
-                return self.check_head_size();
+                self.check_head_size::<()>()?;
+                return Ok(false);
             };
             let _ = self.buffer.split_to(length);
             if head.status.is_informational() {
+                self.informational += 1;
+                if self.informational > MAX_INFORMATIONAL_RESPONSES {
+                    return Err(ReadError::Malformed("sequence of informational responses"));
+                }
                 continue;
             }
-            let decoder = Decoder::new(head.framing, self.limits.body)?;
-            self.response = Some((head, decoder));
+            self.informational = 0;
+            let body = Decoder::new(head.framing, self.limits.body)?;
+            let head = Some(head);
+            self.response = Some(Incoming { head, body });
+        }
+        match &mut self.response {
+            Some(incoming) => incoming.body.decode(&mut self.buffer),
+            None => Ok(false),
         }
-        let Some((_, decoder)) = &mut self.response else {
-            return Ok(None);
-        };
-        let complete = decoder.decode(&mut self.buffer)?;
-        Ok(complete.and_then(|body| self.finish_response(body)))
-    }
-
-    fn close_response(&mut self) -> Option<Response> {
-        let body = self.response.as_mut()?.1.close()?;
-        self.finish_response(body)
     }
 
-    fn finish_response(&mut self, body: bytes::Bytes) -> Option<Response> {
-        self.response.take().map(|(head, _)| Response {
+    /// Takes the head of the response and what is there of its body, if the
+    /// response is complete or `window` bytes of the body were read.
+    fn take_response(&mut self, complete: bool, window: usize) -> Option<Response> {
+        let incoming = self.response.as_mut()?;
+        if !complete && incoming.body.collected() < window {
+            return None;
+        }
+        let head = incoming.head.take()?;
+        let body = incoming.body.take();
+        if complete {
+            self.response = None;
+        }
+        Some(Response {
             status: head.status,
             headers: head.headers,
             body,
+            rest: None,
             keep_alive: head.keep_alive,
             idle_timeout: head.idle_timeout,
         })
     }
 
+    /// Takes a response whose body ends with the connection.
+    fn close_response(&mut self) -> Option<Response> {
+        let ends = self.response.as_ref()?.body.ends_with_connection();
+        ends.then(|| self.take_response(true, 0))?
+    }
+
     fn check_head_size<T>(&self) -> Result<Option<T>, ReadError> {
         if self.buffer.len() > self.limits.head {
             return Err(ReadError::HeadTooLarge);
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -1,5 +1,6 @@
 //! Server connections.
 
+use std::collections::VecDeque;
 use std::future::ready;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
 use http::{Method, StatusCode};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
@@ -16,17 +18,14 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::encode::encode_response;
+use crate::body::Framing;
 use crate::message::{Request, Response};
+use crate::output::Output;
 use crate::reader::{Limits, ReadError, Reader};
 
 /// Largest number of requests that one connection serves concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 16;
 
-/// Time within which a response must be written. A peer that does not read
-/// would otherwise hold memory indefinitely.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Time for which the server keeps reading after it shut a connection down.
 /// Closing with unread bytes would reset the connection and could discard the
 /// last response.
@@ -109,15 +108,26 @@
     let _ = stream.set_nodelay(true);
     let (read, mut writer) = stream.into_split();
     let mut reader = Reader::new(read, service.limits());
-    if run_exchanges(&mut reader, &mut writer, &service, &stop).await
-        && writer.shutdown().await.is_ok()
-    {
+    if !run_exchanges(&mut reader, &mut writer, &service, &stop).await {
+        // Dropping the writer would shut the connection down gracefully, which
+        // can make a response that broke off look complete.
+        writer.forget();
+        return;
+    }
+    if writer.shutdown().await.is_ok() {
         // The time-out bounds the wait for a peer that does not close the
         // connection.
         let _ = timeout(LINGER_TIMEOUT, reader.discard()).await;
     }
 }
 
+/// Response of the service, with what determines its encoding.
+struct Answer {
+    response: Response,
+    method: Method,
+    accepts_chunks: bool,
+}
+
 /// Runs the exchanges of a connection; returns whether the connection can be
 /// shut down gracefully.
 async fn run_exchanges<S: Service>(
@@ -127,37 +137,46 @@
     stop: &CancellationToken,
 ) -> bool {
     let mut pending = FuturesOrdered::new();
+    // Answers that wait for the one that is being written.
+    let mut queue: VecDeque<Answer> = VecDeque::new();
+    let mut output: Option<Output> = None;
     let mut last = false;
     let mut idle_since = Instant::now();
     loop {
-        if last && pending.is_empty() {
+        let mid_message = reader.is_within_message();
+        if output.is_none()
+            && let Some(answer) = queue.pop_front()
+        {
+            let is_newest = pending.is_empty() && queue.is_empty();
+            last |= !answer.response.keep_alive;
+            // `Connection: close` must be on the last response only: clients
+            // treat later requests as unprocessed and resend them, so none of
+            // those may have run.
+            last |= service.is_closing() && is_newest && !mid_message;
+            output = Some(start_output(answer, last && is_newest));
+        }
+        let is_idle = output.is_none() && pending.is_empty();
+        if last && is_idle {
             return true;
         }
-        let reading = !last && pending.len() < MAX_PIPELINED_REQUESTS;
-        let deadline = deadline(reader, service.as_ref(), idle_since, pending.is_empty());
-        let mid_message = reader.is_within_message();
+        let reading = !last && pending.len() + queue.len() < MAX_PIPELINED_REQUESTS;
+        let read_deadline = deadline(reader, service.as_ref(), idle_since, is_idle);
+        let write_deadline = output.as_ref().map(Output::deadline);
         tokio::select! {
             biased;
-            Some((response, method)) = pending.next(), if !pending.is_empty() => {
-                let mut response: Response = response;
-                last |= !response.keep_alive;
-                // `Connection: close` must be on the last response only:
-                // clients treat later requests as unprocessed and resend them,
-                // so none of those may have run.
-                last |= service.is_closing() && pending.is_empty() && !mid_message;
-                response.keep_alive = !(last && pending.is_empty());
-                let bytes = encode_response(&response, &method);
-                if !matches!(timeout(WRITE_TIMEOUT, writer.write_all(&bytes)).await, Ok(Ok(()))) {
-                    return false;
-                }
-                idle_since = Instant::now();
-            }
+            Some(answer) = pending.next(), if !pending.is_empty() => queue.push_back(answer),
+            written = advance(&mut output, writer), if output.is_some() => match written {
+                Ok(None) => {}
+                Ok(Some(Framing::Close)) => return true,
+                Ok(Some(_)) => idle_since = Instant::now(),
+                Err(()) => return false,
+            },
             read = read_request(reader, last), if reading || last => match read {
                 Ok(Some(request)) => {
                     last = !request.keep_alive;
-                    let method = request.method.clone();
+                    let (method, accepts_chunks) = (request.method.clone(), request.accepts_chunks);
                     let call = Arc::clone(service).call(request);
-                    pending.push_back(pending_response(call, method));
+                    pending.push_back(pending_answer(call, method, accepts_chunks));
                     reader.set_limits(service.limits());
                     idle_since = Instant::now();
                 }
@@ -166,18 +185,19 @@
                 Ok(None) | Err(ReadError::Io(_) | ReadError::Truncated) => return false,
                 Err(error) => {
                     last = true;
-                    pending.push_back(pending_response(ready(error_response(&error)), Method::GET));
+                    let call = ready(error_response(&error));
+                    pending.push_back(pending_answer(call, Method::GET, true));
                 }
             },
             () = stop.cancelled(), if !last && !mid_message => last = true,
-            () = tokio::time::sleep_until(deadline), if reading => {
+            () = sleep_until(write_deadline), if write_deadline.is_some() => return false,
+            () = sleep_until(Some(read_deadline)), if reading => {
                 // A message that began in the meantime extends the deadline.
-                let due = self::deadline(reader, service.as_ref(), idle_since, pending.is_empty());
-                if due <= Instant::now() {
+                if deadline(reader, service.as_ref(), idle_since, is_idle) <= Instant::now() {
                     last = true;
                     if reader.is_within_message() {
-                        let response = Response::new(StatusCode::REQUEST_TIMEOUT, Bytes::new());
-                        pending.push_back(pending_response(ready(response), Method::GET));
+                        let call = ready(Response::new(StatusCode::REQUEST_TIMEOUT, Bytes::new()));
+                        pending.push_back(pending_answer(call, Method::GET, true));
                     }
                 }
             }
@@ -185,13 +205,60 @@
     }
 }
 
-type PendingResponse = Pin<Box<dyn Future<Output = (Response, Method)> + Send>>;
+/// Starts to write an answer. `closes` states whether the connection ends with
+/// it.
+fn start_output(answer: Answer, closes: bool) -> Output {
+    let mut response = answer.response;
+    response.keep_alive = !closes;
+    Output::new(response, &answer.method, answer.accepts_chunks)
+}
 
-fn pending_response(
+/// Writes a part of a response. Returns the framing of its body once the response
+/// is complete; then `output` is `None`.
+async fn advance(
+    output: &mut Option<Output>,
+    writer: &mut OwnedWriteHalf,
+) -> Result<Option<Framing>, ()> {
+    let Some(response) = output else {
+        return Ok(None);
+    };
+    match response.advance(writer).await {
+        Ok(false) => Ok(None),
+        Ok(true) => Ok(output.take().map(|response| response.framing())),
+        Err(error) => {
+            log::debug!(target: "caller", "event=broken-off error=\"{error}\"");
+            if response.framing() == Framing::Close {
+                // Only a reset shows that the response is incomplete.
+                let _ = SockRef::from(AsRef::<TcpStream>::as_ref(writer))
+                    .set_linger(Some(Duration::ZERO));
+            }
+            Err(())
+        }
+    }
+}
+
+/// Sleeps until a time; for ever if there is none.
+async fn sleep_until(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
+type PendingAnswer = Pin<Box<dyn Future<Output = Answer> + Send>>;
+
+fn pending_answer(
     call: impl Future<Output = Response> + Send + 'static,
     method: Method,
-) -> PendingResponse {
-    Box::pin(async move { (call.await, method) })
+    accepts_chunks: bool,
+) -> PendingAnswer {
+    Box::pin(async move {
+        Answer {
+            response: call.await,
+            method,
+            accepts_chunks,
+        }
+    })
 }
 
 /// Reads the next request. After the last request, discards input until the
--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod client;
 mod fixture;
 mod server;
+mod streaming;
--- a/crates/placement/src/candidate.rs
+++ b/crates/placement/src/candidate.rs
@@ -170,6 +170,10 @@
         Some(now.saturating_duration_since(attempt.started))
     }
 
+    pub(crate) fn record_failure(&mut self, now: Instant) {
+        self.health.record_failure(now);
+    }
+
     pub(crate) fn record_probe(&mut self, now: Instant) {
         self.last_probe = Some(now);
     }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -199,6 +199,15 @@
         std::mem::replace(&mut known.lifecycle, Lifecycle::Draining) == Lifecycle::Ready
     }
 
+    /// Records a failure of a target outside an attempt.
+    pub fn record_failure(&mut self, endpoint: &Endpoint, now: Instant) {
+        if let Some(candidate) = self.candidates.get_mut(&endpoint.id)
+            && candidate.endpoint.started_ms == endpoint.started_ms
+        {
+            candidate.record_failure(now);
+        }
+    }
+
     /// Records that a target wants neither requests nor probes until a time.
     pub fn pause(&mut self, endpoint: &Endpoint, until: Instant, now: Instant) {
         self.statements.record_pause(endpoint, until, now);
