Restart the background tasks of an entry after a panic

Cause: a panic in a task that follows the store or processes the messages of other entries ended that task only. The entry went on serving callers, and no longer applied any change.

A fetch from another entry that panics no longer prevents all later ones.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -8,12 +8,13 @@
 use carobdrift_peers::{Baseline, Delta, Event, Peers, Row, Watermark, fetch};
 use carobdrift_platform::Cause;
 use carobdrift_routing::State;
-use tokio::sync::mpsc;
+use tokio::sync::{Mutex, mpsc};
 use tokio::time::Instant;
 
 use crate::node::Shared;
 use crate::reader::Position;
 use crate::store::{Batch, Item, Subject};
+use crate::task;
 
 /// Time for which the store is asked to wait for a change. The wait bounds the time
 /// until a dead connection is noticed.
@@ -62,12 +63,24 @@
 
 /// Starts all tasks that keep the data current.
 pub(crate) fn spawn(shared: &Arc<Shared>, peers: &Peers, events: mpsc::Receiver<Event>) {
+    let context = || (Arc::clone(shared), peers.clone());
     for subject in [Subject::State, Subject::Targets] {
-        tokio::spawn(watch_subject(Arc::clone(shared), peers.clone(), subject));
+        let (shared, peers) = context();
+        task::spawn("watch", move || {
+            watch_subject(Arc::clone(&shared), peers.clone(), subject)
+        });
     }
-    tokio::spawn(run_removals(Arc::clone(shared), peers.clone()));
-    tokio::spawn(handle_events(Arc::clone(shared), peers.clone(), events));
-    tokio::spawn(join(Arc::clone(shared), peers.clone()));
+    let (shared, peers) = context();
+    task::spawn("removals", move || {
+        run_removals(Arc::clone(&shared), peers.clone())
+    });
+    let (shared, peers) = context();
+    let events = Arc::new(Mutex::new(events));
+    task::spawn("events", move || {
+        handle_events(Arc::clone(&shared), peers.clone(), Arc::clone(&events))
+    });
+    let (shared, peers) = context();
+    task::spawn("join", move || join(Arc::clone(&shared), peers.clone()));
 }
 
 fn join_delay(shared: &Shared) -> Duration {
@@ -259,7 +272,12 @@
 }
 
 /// Processes the events that other entries send.
-async fn handle_events(shared: Arc<Shared>, peers: Peers, mut events: mpsc::Receiver<Event>) {
+async fn handle_events(
+    shared: Arc<Shared>,
+    peers: Peers,
+    events: Arc<Mutex<mpsc::Receiver<Event>>>,
+) {
+    let mut events = events.lock().await;
     while let Some(event) = events.recv().await {
         match event {
             Event::Delta(delta) => {
@@ -280,13 +298,14 @@
             }
             Event::Watermark(from, watermark) => {
                 shared.record_peer_store_age(Duration::from_millis(watermark.store_age_ms.into()));
-                if is_newer(&shared, watermark) && shared.try_begin_fetch() {
-                    tokio::spawn(catch_up(
-                        Arc::clone(&shared),
-                        peers.clone(),
-                        from,
-                        watermark,
-                    ));
+                if is_newer(&shared, watermark)
+                    && let Some(fetch) = shared.try_begin_fetch()
+                {
+                    let catch_up = catch_up(Arc::clone(&shared), peers.clone(), from, watermark);
+                    tokio::spawn(async move {
+                        catch_up.await;
+                        drop(fetch);
+                    });
                 }
             }
         }
@@ -330,7 +349,6 @@
             }
         }
     }
-    shared.end_fetch();
     if state_changed && peers.is_hub() {
         peers.announce().await;
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod replica;
 mod settings;
 mod store;
+mod task;
 
 pub use logging::{LogError, set_up_logging};
 pub use node::{Error, Node};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,7 @@
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::store::{Store, Subject};
+use crate::task;
 
 /// TTL of an address answer.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
@@ -80,6 +81,15 @@
     fetching: AtomicBool,
 }
 
+/// Fetch from another entry that is in progress until this value is dropped.
+pub(crate) struct Fetch(Arc<Shared>);
+
+impl Drop for Fetch {
+    fn drop(&mut self) {
+        self.0.fetching.store(false, Ordering::Release);
+    }
+}
+
 /// Status of the store as known to this entry.
 #[derive(Debug, Default)]
 struct StoreStatus {
@@ -137,7 +147,10 @@
         });
         let (peers, events) = bind_peers(&shared).await?;
         follower::spawn(&shared, &peers, events);
-        tokio::spawn(run_maintenance(Arc::clone(&shared), peers.clone()));
+        let (for_maintenance, peers_for_maintenance) = (Arc::clone(&shared), peers.clone());
+        task::spawn("maintenance", move || {
+            run_maintenance(Arc::clone(&for_maintenance), peers_for_maintenance.clone())
+        });
         let listener = Listener::spawn(callers, gateway);
         log::info!(
             target: "entry",
@@ -277,14 +290,10 @@
         }
     }
 
-    /// Marks a fetch from another entry as in progress; returns false if one is
-    /// in progress already.
-    pub(crate) fn try_begin_fetch(&self) -> bool {
-        !self.fetching.swap(true, Ordering::AcqRel)
-    }
-
-    pub(crate) fn end_fetch(&self) {
-        self.fetching.store(false, Ordering::Release);
+    /// Begins a fetch from another entry, unless one is in progress already.
+    pub(crate) fn try_begin_fetch(self: &Arc<Self>) -> Option<Fetch> {
+        let is_first = !self.fetching.swap(true, Ordering::AcqRel);
+        is_first.then(|| Fetch(Arc::clone(self)))
     }
 
     fn phase(&self) -> Phase {
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -3,11 +3,13 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use carobdrift_units::Zone;
+use futures_util::FutureExt;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -420,7 +422,12 @@
                     continue;
                 }
             };
-            let Some(event) = self.handle(from.ip(), datagram).await else {
+            let handled = AssertUnwindSafe(self.handle(from.ip(), datagram)).catch_unwind();
+            let Ok(event) = handled.await else {
+                log::error!(target: "peers", "event=panicked from={from}");
+                continue;
+            };
+            let Some(event) = event else {
                 continue;
             };
             if events.try_send(event).is_err() {
