Leave room for unanswered probes when a stopped target resumes

Cause: at the first answer of a target that resumes, the pacer forgot the unanswered probes.

Change: after such an answer the target is not probed for one second.

--- a/crates/measure/src/pacer.rs
+++ b/crates/measure/src/pacer.rs
@@ -15,6 +15,10 @@
 /// resumes, including requests on connections that this process has closed.
 const LATE_ARRIVAL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time without probes after the answer of a target that had left probes
+/// unanswered: these may all have arrived in the second before the answer.
+const RESUME_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time after which the state of a target that is not probed is dropped.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -46,6 +50,8 @@
     has_answered: bool,
     /// End times of the unanswered probes that may still reach the target.
     unanswered: VecDeque<Instant>,
+    /// End of the pause after the target answered again.
+    paused_until: Option<Instant>,
 }
 
 impl Pacer {
@@ -58,6 +64,7 @@
             outstanding: false,
             has_answered: false,
             unanswered: VecDeque::new(),
+            paused_until: None,
         }
     }
 
@@ -83,7 +90,8 @@
         } else {
             usable.min(1)
         };
-        is_interval_over && !self.outstanding && self.unanswered.len() < limit
+        let is_paused = self.paused_until.is_some_and(|until| now < until);
+        is_interval_over && !is_paused && !self.outstanding && self.unanswered.len() < limit
     }
 
     /// Records that a probe is sent.
@@ -99,7 +107,10 @@
         match completion {
             Completion::Answered => {
                 self.has_answered = true;
-                self.unanswered.clear();
+                if !self.unanswered.is_empty() {
+                    self.unanswered.clear();
+                    self.paused_until = Some(now + RESUME_PAUSE);
+                }
             }
             Completion::Undeliverable => {}
             Completion::Unanswered => self.unanswered.push_back(now),
@@ -109,7 +120,11 @@
     /// Records that the target answered a request at `at`. Everything that was
     /// in its socket buffers before has been processed by then.
     pub fn record_answer(&mut self, at: Instant) {
+        let count = self.unanswered.len();
         self.unanswered.retain(|ended| *ended >= at);
+        if self.unanswered.len() < count {
+            self.paused_until = self.paused_until.max(Some(at + RESUME_PAUSE));
+        }
     }
 
     /// Returns whether the state of the target can be dropped at `now`.
--- a/crates/measure/tests/all/pacer.rs
+++ b/crates/measure/tests/all/pacer.rs
@@ -124,6 +124,43 @@
     }
 }
 
+/// The probes in the socket buffers of a target that resumes arrive in the second
+/// of its first answer, so the probes after the answer must leave room for them.
+#[test]
+fn probes_after_a_stop_do_not_add_to_those_that_waited() {
+    for budget in [2, 3, 10, 20] {
+        for learns_from_request in [false, true] {
+            let start = Instant::now();
+            let mut pacer = Pacer::new(start);
+            pacer.start_probe();
+            pacer.end_probe(Completion::Answered, start);
+            let waiting = probe_stopped_target(&mut pacer, budget, start);
+            let resumed = start + SECOND * 20;
+            let mut arrivals: Vec<Instant> = (0..waiting).map(|_| resumed).collect();
+
+            if learns_from_request {
+                pacer.record_answer(resumed);
+            } else {
+                pacer.end_probe(Completion::Answered, resumed);
+            }
+            for millis in 0..3_000 {
+                let now = resumed + Duration::from_millis(millis);
+                if pacer.is_probe_allowed(budget, now) {
+                    pacer.start_probe();
+                    arrivals.push(now);
+                    pacer.end_probe(Completion::Answered, now);
+                }
+            }
+
+            let most = most_in_one_second(arrivals);
+            assert!(
+                most <= usize::try_from(budget).unwrap(),
+                "{most} of {budget}"
+            );
+        }
+    }
+}
+
 #[test]
 fn delays_on_the_way_never_exceed_the_budget() {
     let mut random = StdRng::seed_from_u64(7);
