Skip late copies of responses on connections that are in use again

Cause: a late copy of a response that arrived behind the next request ended that request as 502, although its own response followed: a caller lost the outcome of a request that ran. A copy that arrived behind a probe was taken for the answer to the probe, and the next request got the probe's answer.

Change: a connection remembers the attempt id of its last request and skips responses with that id. A response with an attempt id never answers a probe. Whether an idle connection has received bytes is asked of its socket, because the runtime learns of them later. A connection with a copy is not reused.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_http1::{Connection, ExchangeError, Response, encode_request};
+use carobdrift_http1::{ExchangeError, Response, encode_request};
 use carobdrift_placement::Outcome;
 use http::StatusCode;
 use tokio::time::Instant;
@@ -12,6 +12,7 @@
 use crate::gateway::Gateway;
 use crate::place::Placement;
 use crate::relay;
+use crate::upstream::Upstream;
 
 /// Idle time up to which a kept connection is reused for a non-idempotent
 /// request. The target may reset a connection that was idle for longer, and the
@@ -98,10 +99,10 @@
         let mut kept = self.upstreams.take(endpoint, max_idle);
         loop {
             let reused = kept.is_some();
-            let mut connection = match kept.take() {
-                Some(connection) => connection,
+            let mut upstream = match kept.take() {
+                Some(upstream) => upstream,
                 None => match self.upstreams.open(endpoint).await {
-                    Ok(connection) => connection,
+                    Ok(upstream) => upstream,
                     Err(error) => {
                         self.mark_unreachable(endpoint, "request", &error);
                         return Completion::NotSent;
@@ -111,16 +112,18 @@
             // The target may have been withdrawn while the connection was being
             // opened or the machine was suspended.
             if !self.accepts(endpoint) {
-                self.upstreams.put(endpoint, connection);
+                self.upstreams.put(endpoint, upstream);
                 return Completion::Withdrawn;
             }
-            match self.exchange(call, placement, &mut connection).await {
-                Ok(Completion::Answered(mut response)) if connection.is_within_response() => {
-                    response.rest = Some(relay::rest(self, call, endpoint, connection));
+            match self.exchange(call, placement, &mut upstream).await {
+                Ok(Completion::Answered(mut response))
+                    if upstream.connection.is_within_response() =>
+                {
+                    response.rest = Some(relay::rest(self, call, endpoint, upstream));
                     return Completion::Answered(response);
                 }
                 Ok(completion) => {
-                    self.upstreams.put(endpoint, connection);
+                    self.upstreams.put(endpoint, upstream);
                     return completion;
                 }
                 Err(error) => {
@@ -151,7 +154,7 @@
         &self,
         call: &Call,
         placement: &Placement,
-        connection: &mut Connection,
+        upstream: &mut Upstream,
     ) -> Result<Completion, ExchangeError> {
         let endpoint = &placement.endpoint;
         let mut headers = call.headers.clone();
@@ -160,9 +163,17 @@
         let bytes = encode_request(&call.method, &call.target, &headers, &call.body).freeze();
         call.begin_dispatch();
         let mut sent = 0;
-        let result = connection
-            .start(&call.method, bytes, RESPONSE_WINDOW_BYTES, &mut sent)
+        let result = upstream
+            .start(
+                call.id.as_deref(),
+                &call.method,
+                bytes,
+                RESPONSE_WINDOW_BYTES,
+                &mut sent,
+                self.dialect.as_ref(),
+            )
             .await;
+        upstream.last_attempt.clone_from(&call.id);
         if sent == 0 {
             call.undo_dispatch();
         }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carobdrift_http1::{Connection, encode_request};
+use carobdrift_http1::encode_request;
 use carobdrift_placement::Endpoint;
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method};
 
 use crate::gateway::Gateway;
+use crate::upstream::Upstream;
 
 /// Timeout of a probe. A later answer is of no use to the request that waits for
 /// it.
@@ -79,16 +80,16 @@
         let bytes = encode_request(&Method::GET, path, &headers, &[]).freeze();
         let kept = self.upstreams.take(endpoint, Duration::MAX);
         let reused = kept.is_some();
-        let mut connection = match kept {
-            Some(connection) => connection,
+        let mut upstream = match kept {
+            Some(upstream) => upstream,
             None => match self.upstreams.open(endpoint).await {
-                Ok(connection) => connection,
+                Ok(upstream) => upstream,
                 Err(_) => return Outcome::Unreachable,
             },
         };
-        match self.read_load(endpoint, &mut connection, bytes).await {
+        match self.read_load(endpoint, &mut upstream, bytes).await {
             Some(outcome) => {
-                self.upstreams.put(endpoint, connection);
+                self.upstreams.put(endpoint, upstream);
                 outcome
             }
             // The target may have closed the kept connection, which does not mean
@@ -101,17 +102,28 @@
     async fn read_load(
         &self,
         endpoint: &Endpoint,
-        connection: &mut Connection,
+        upstream: &mut Upstream,
         bytes: Bytes,
     ) -> Option<Outcome> {
         let mut sent = 0;
-        let response = connection
-            .start(&Method::GET, bytes, MAX_BODY_BYTES, &mut sent)
+        let response = upstream
+            .start(
+                None,
+                &Method::GET,
+                bytes,
+                MAX_BODY_BYTES,
+                &mut sent,
+                self.dialect.as_ref(),
+            )
             .await
             .ok()?;
-        if connection.is_within_response() {
+        if upstream.connection.is_within_response() {
             return Some(Outcome::NoLoad);
         }
+        // A probe has no attempt id, so this is the response to another exchange.
+        if self.dialect.attempt_id(&response.headers).is_some() {
+            return None;
+        }
         let responder = self.dialect.target_id(&response.headers);
         if responder.is_some_and(|id| id != endpoint.id.as_str()) {
             return Some(Outcome::Unreachable);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,20 +4,21 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use carobdrift_http1::{Connection, ReadError, Rest};
+use carobdrift_http1::{ReadError, Rest};
 use carobdrift_placement::Endpoint;
 use futures_util::stream::{StreamExt, unfold};
 use tokio::time::timeout_at;
 
 use crate::call::Call;
 use crate::gateway::Gateway;
+use crate::upstream::Upstream;
 
-/// Connection to a target that sent the first part of a response.
+/// Request and connection of a target that sent the first part of a response.
 struct Relay {
     gateway: Arc<Gateway>,
     call: Arc<Call>,
     endpoint: Endpoint,
-    connection: Connection,
+    upstream: Upstream,
 }
 
 /// Returns the rest of the body of a response. Each part is read from the target
@@ -28,14 +29,14 @@
     gateway: &Arc<Gateway>,
     call: &Arc<Call>,
     endpoint: &Endpoint,
-    connection: Connection,
+    upstream: Upstream,
 ) -> Rest {
-    let length = connection.remaining();
+    let length = upstream.connection.remaining();
     let relay = Relay {
         gateway: Arc::clone(gateway),
         call: Arc::clone(call),
         endpoint: endpoint.clone(),
-        connection,
+        upstream,
     };
     Rest {
         length,
@@ -46,14 +47,11 @@
 /// Reads the next part. After the last part the connection is kept for reuse.
 async fn next(relay: Option<Relay>) -> Option<(io::Result<Bytes>, Option<Relay>)> {
     let mut relay = relay?;
-    let read = relay.connection.next_part();
+    let read = relay.upstream.connection.next_part();
     match timeout_at(relay.call.deadline, read).await {
         Ok(Ok(Some(part))) => Some((Ok(part), Some(relay))),
         Ok(Ok(None)) => {
-            relay
-                .gateway
-                .upstreams
-                .put(&relay.endpoint, relay.connection);
+            relay.gateway.upstreams.put(&relay.endpoint, relay.upstream);
             None
         }
         Ok(Err(error)) => {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,11 +4,15 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use carobdrift_http1::{Connection, OpenError};
+use bytes::Bytes;
+use carobdrift_http1::{Connection, ExchangeError, OpenError, Response};
 use carobdrift_placement::Endpoint;
 use carobdrift_units::Target;
+use http::Method;
 use prometheus::IntCounter;
 
+use crate::dialect::Dialect;
+
 /// Timeout of opening a connection to a target. It covers one retransmission of a
 /// lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -25,14 +29,53 @@
 /// the connection to be reused.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
+/// Largest number of late copies that are skipped before a response.
+const MAX_LATE_COPIES: usize = 2;
+
+/// Connection to a target.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    pub(crate) connection: Connection,
+    /// Attempt id of the last request on the connection, by which a late copy of
+    /// its response is recognized.
+    pub(crate) last_attempt: Option<String>,
+}
+
 /// Idle connections by target. The key includes the start of the target's
 /// process, because another process may reuse an address and even an id.
 #[derive(Debug)]
 pub(crate) struct Upstreams {
-    idle: Mutex<HashMap<(Target, u64), Vec<Connection>>>,
+    idle: Mutex<HashMap<(Target, u64), Vec<Upstream>>>,
     opened: IntCounter,
 }
 
+impl Upstream {
+    /// Sends an encoded request and reads the first part of its response, of at
+    /// least `window` bytes or complete. Late copies of the response to the request
+    /// before are skipped, unless both requests have the same attempt id.
+    pub(crate) async fn start(
+        &mut self,
+        attempt: Option<&str>,
+        method: &Method,
+        request: Bytes,
+        window: usize,
+        sent: &mut usize,
+        dialect: &dyn Dialect,
+    ) -> Result<Response, ExchangeError> {
+        let mut response = self.connection.start(method, request, window, sent).await?;
+        let mut skipped = 0;
+        while skipped < MAX_LATE_COPIES
+            && self.last_attempt.is_some()
+            && self.last_attempt.as_deref() != attempt
+            && dialect.attempt_id(&response.headers) == self.last_attempt.as_deref()
+        {
+            skipped += 1;
+            response = self.connection.skip_response(method, window, sent).await?;
+        }
+        Ok(response)
+    }
+}
+
 impl Upstreams {
     pub(crate) fn new(opened: IntCounter) -> Self {
         Self {
@@ -43,38 +86,43 @@
 
     /// Takes the most recently used idle connection unless it has been idle for
     /// longer than `max_idle`.
-    pub(crate) fn take(&self, endpoint: &Endpoint, max_idle: Duration) -> Option<Connection> {
+    pub(crate) fn take(&self, endpoint: &Endpoint, max_idle: Duration) -> Option<Upstream> {
         let mut idle = self.lock();
-        let connections = idle.get_mut(&key(endpoint))?;
-        while let Some(mut connection) = connections.pop() {
-            if !connection.is_reusable(EXPIRY_MARGIN) || connection.idle_time() > MAX_IDLE_TIME {
+        let upstreams = idle.get_mut(&key(endpoint))?;
+        while let Some(mut upstream) = upstreams.pop() {
+            let idle_time = upstream.connection.idle_time();
+            if !upstream.connection.is_reusable(EXPIRY_MARGIN) || idle_time > MAX_IDLE_TIME {
                 continue;
             }
-            if connection.idle_time() > max_idle {
-                connections.push(connection);
+            if idle_time > max_idle {
+                upstreams.push(upstream);
                 return None;
             }
-            return Some(connection);
+            return Some(upstream);
         }
         None
     }
 
     /// Opens a connection.
-    pub(crate) async fn open(&self, endpoint: &Endpoint) -> Result<Connection, OpenError> {
+    pub(crate) async fn open(&self, endpoint: &Endpoint) -> Result<Upstream, OpenError> {
         self.opened.inc();
         // Responses are relayed in parts, so their size is not limited.
-        Connection::open(endpoint.address, CONNECT_TIMEOUT, u64::MAX).await
+        let connection = Connection::open(endpoint.address, CONNECT_TIMEOUT, u64::MAX).await?;
+        Ok(Upstream {
+            connection,
+            last_attempt: None,
+        })
     }
 
     /// Keeps a connection for reuse after a complete exchange.
-    pub(crate) fn put(&self, endpoint: &Endpoint, mut connection: Connection) {
-        if !connection.is_reusable(EXPIRY_MARGIN) {
+    pub(crate) fn put(&self, endpoint: &Endpoint, mut upstream: Upstream) {
+        if !upstream.connection.is_reusable(EXPIRY_MARGIN) {
             return;
         }
         let mut idle = self.lock();
-        let connections = idle.entry(key(endpoint)).or_default();
-        if connections.len() < MAX_IDLE_CONNECTIONS {
-            connections.push(connection);
+        let upstreams = idle.entry(key(endpoint)).or_default();
+        if upstreams.len() < MAX_IDLE_CONNECTIONS {
+            upstreams.push(upstream);
         }
     }
 
@@ -90,13 +138,13 @@
 
     /// Closes connections that exceeded the idle time limit.
     pub(crate) fn close_expired(&self) {
-        self.lock().retain(|_, connections| {
-            connections.retain(|connection| connection.idle_time() <= MAX_IDLE_TIME);
-            !connections.is_empty()
+        self.lock().retain(|_, upstreams| {
+            upstreams.retain(|upstream| upstream.connection.idle_time() <= MAX_IDLE_TIME);
+            !upstreams.is_empty()
         });
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<(Target, u64), Vec<Connection>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<(Target, u64), Vec<Upstream>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -160,6 +160,47 @@
         self.reusable = false;
         self.unsent = request;
         *sent = 0;
+        let response = self.read_response(method, window, sent).await?;
+        if !self.is_within_response() {
+            self.finish();
+        }
+        Ok(response)
+    }
+
+    /// Skips the response that was started, because it belongs to an earlier
+    /// exchange, and reads the next one like [`start`](Self::start). The
+    /// connection cannot be reused afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection ends before that; the error states whether the
+    /// request can have reached the peer.
+    pub async fn skip_response(
+        &mut self,
+        method: &Method,
+        window: usize,
+        sent: &mut usize,
+    ) -> Result<Response, ExchangeError> {
+        self.reusable = false;
+        while let Some(part) = self.reader.response_part().await.transpose() {
+            part.map_err(|cause| ExchangeError { sent: *sent, cause })?;
+        }
+        let response = self.read_response(method, window, sent).await?;
+        self.persistence = (false, None);
+        if !self.is_within_response() {
+            self.finish();
+        }
+        Ok(response)
+    }
+
+    /// Sends what is unsent of the request and reads the next response until it
+    /// is complete or `window` bytes of its body were read.
+    async fn read_response(
+        &mut self,
+        method: &Method,
+        window: usize,
+        sent: &mut usize,
+    ) -> Result<Response, ExchangeError> {
         let mut write_error = None;
         let result = loop {
             let read = self.reader.response(method, window);
@@ -197,9 +238,6 @@
             response.keep_alive && write_error.is_none(),
             response.idle_timeout,
         );
-        if !self.is_within_response() {
-            self.finish();
-        }
         Ok(response)
     }
 
@@ -255,6 +293,5 @@
         self.last_used = Instant::now();
         self.expiry = idle_timeout.map(|timeout| self.last_used + timeout);
         self.reusable = keep_alive && self.unsent.is_empty();
-        self.unsent.clear();
     }
 }
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -1,11 +1,14 @@
 //! Reading of messages from a connection.
 
 use std::io;
+use std::mem::MaybeUninit;
 
 use bytes::{Bytes, BytesMut};
 use http::Method;
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::Instant;
 
@@ -209,8 +212,10 @@
         if self.is_within_message() {
             return true;
         }
-        let mut byte = [0];
-        match self.stream.try_read(&mut byte) {
+        // The runtime learns of received bytes only when it next polls for
+        // events, so the socket itself is asked.
+        let stream: &TcpStream = self.stream.as_ref();
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
             Err(error) => error.kind() != io::ErrorKind::WouldBlock,
             Ok(_) => true,
         }
