Answer requests that are on their way when an entry stops serving

Cause: at the end of a planned stop the listener and the idle connections were closed at once. A connection that waited to be accepted was reset, and a request that had just been sent on an idle or new connection was not read.

Change: from the stop on, connections and requests are accepted for 100 ms more, each with Connection: close on its response.

Test: server::a_shutdown_answers_requests_that_are_on_their_way (failed first: no response).

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -24,7 +24,8 @@
             stop: CancellationToken::new(),
             connections: TaskTracker::new(),
         };
-        tokio::spawn(listen(
+        // Tracked like a connection, because it accepts some after the stop.
+        this.connections.spawn(listen(
             listener,
             gateway,
             this.stop.clone(),
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::future::ready;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +31,10 @@
 /// last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after a stop for which connections and requests that are on their way are
+/// still accepted.
+const STOP_DELAY: Duration = Duration::from_millis(100);
+
 /// Default limit for the head of a request, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 8 * 1024;
 
@@ -74,19 +78,21 @@
     fn call(self: Arc<Self>, request: Request) -> impl Future<Output = Response> + Send;
 }
 
-/// Serves the connections of a listener. Once `stop` is cancelled, no further
-/// connection is accepted and no further request is read; `connections` tracks
-/// the open connections.
+/// Serves the connections of a listener. From 100 ms after `stop` is cancelled, no
+/// further connection is accepted and no further request is read; `connections`
+/// tracks the open connections.
 pub async fn listen<S: Service>(
     listener: TcpListener,
     service: Arc<S>,
     stop: CancellationToken,
     connections: TaskTracker,
 ) {
+    let mut stopped = pin!(stopped(&stop));
     loop {
         let accepted = tokio::select! {
+            biased;
+            () = &mut stopped => return,
             accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -100,8 +106,8 @@
     }
 }
 
-/// Serves the requests of a connection until the connection ends. Once `stop`
-/// is cancelled, no further request is read.
+/// Serves the requests of a connection until the connection ends. From 100 ms
+/// after `stop` is cancelled, no further request is read.
 pub async fn serve<S: Service>(stream: TcpStream, service: Arc<S>, stop: CancellationToken) {
     // Without TCP_NODELAY, small responses wait for delayed acknowledgements.
     // Setting the option fails only on a connection that has already ended.
@@ -142,6 +148,7 @@
     let mut output: Option<Output> = None;
     let mut last = false;
     let mut idle_since = Instant::now();
+    let mut stopped = pin!(stopped(stop));
     loop {
         let mid_message = reader.is_within_message();
         if output.is_none()
@@ -152,7 +159,8 @@
             // `Connection: close` must be on the last response only: clients
             // treat later requests as unprocessed and resend them, so none of
             // those may have run.
-            last |= service.is_closing() && is_newest && !mid_message;
+            let is_closing = service.is_closing() || stop.is_cancelled();
+            last |= is_closing && is_newest && !mid_message;
             output = Some(start_output(answer, last && is_newest));
         }
         let is_idle = output.is_none() && pending.is_empty();
@@ -189,7 +197,7 @@
                     pending.push_back(pending_answer(call, Method::GET, true));
                 }
             },
-            () = stop.cancelled(), if !last && !mid_message => last = true,
+            () = &mut stopped, if !last && !mid_message => last = true,
             () = sleep_until(write_deadline), if write_deadline.is_some() => return false,
             () = sleep_until(Some(read_deadline)), if reading => {
                 // A message that began in the meantime extends the deadline.
@@ -237,6 +245,13 @@
     }
 }
 
+/// Waits until the stop takes effect: closing a listener or a connection at once
+/// would discard what its peers have just sent.
+async fn stopped(stop: &CancellationToken) {
+    stop.cancelled().await;
+    tokio::time::sleep(STOP_DELAY).await;
+}
+
 /// Sleeps until a time; for ever if there is none.
 async fn sleep_until(deadline: Option<Instant>) {
     match deadline {
--- a/crates/http1/tests/all/fixture.rs
+++ b/crates/http1/tests/all/fixture.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use carobdrift_http1::{Connection, Limits, Request, Response, Service, serve};
+use carobdrift_http1::{Connection, Limits, Request, Response, Service, listen, serve};
 use http::StatusCode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// Behaviour of a scripted peer after it sent its response.
 pub(crate) enum Ending {
@@ -106,6 +107,19 @@
     TcpStream::connect(address).await.unwrap()
 }
 
+/// Starts a server that accepts connections until `stop`. Returns its address and
+/// its open connections.
+pub(crate) async fn listening_server(
+    echo: Arc<Echo>,
+    stop: CancellationToken,
+) -> (SocketAddr, TaskTracker) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = TaskTracker::new();
+    tokio::spawn(listen(listener, echo, stop, connections.clone()));
+    (address, connections)
+}
+
 /// Reads until the peer closes the connection, at most for 700 ms.
 pub(crate) async fn read_all(stream: &mut TcpStream) -> String {
     let mut bytes = Vec::new();
--- a/crates/http1/tests/all/server.rs
+++ b/crates/http1/tests/all/server.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-use crate::fixture::{Echo, read_all, server};
+use crate::fixture::{Echo, listening_server, read_all, server};
 
 /// Guards against pipelined requests that run one after the other, and against
 /// responses that are out of order.
@@ -159,6 +160,39 @@
     assert!(response.contains("connection: close"), "{response:?}");
 }
 
+/// Guards against a shutdown that closes connections whose requests are on their
+/// way: of a connection that was just accepted, of one that is idle, and of one
+/// that still waits to be accepted.
+#[tokio::test]
+async fn a_shutdown_answers_requests_that_are_on_their_way() {
+    let echo = Arc::new(Echo {
+        closing: true,
+        ..Echo::default()
+    });
+    let stop = CancellationToken::new();
+    let (address, connections) = listening_server(Arc::clone(&echo), stop.clone()).await;
+    let mut idle = TcpStream::connect(address).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+
+    stop.cancel();
+    // Nothing was accepted since the connection attempts, because this task has
+    // not yielded.
+    let mut waiting = std::net::TcpStream::connect(address).unwrap();
+    std::io::Write::write_all(&mut waiting, b"GET /10 HTTP/1.1\r\n\r\n").unwrap();
+    waiting.set_nonblocking(true).unwrap();
+    let mut waiting = TcpStream::from_std(waiting).unwrap();
+    idle.write_all(b"GET /11 HTTP/1.1\r\n\r\n").await.unwrap();
+    let (waiting, idle) = tokio::join!(read_all(&mut waiting), read_all(&mut idle));
+
+    for response in [waiting, idle] {
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        assert!(response.contains("connection: close"), "{response:?}");
+    }
+    connections.close();
+    let ended = tokio::time::timeout(Duration::from_secs(2), connections.wait()).await;
+    assert!(ended.is_ok(), "connections outlast the shutdown");
+}
+
 /// Guards against lost bytes in chunked request bodies.
 #[tokio::test]
 async fn a_chunked_body_arrives_complete() {
