Let entries that lost each other meet again; fuzz what they read

Cause: heartbeats went to the hubs of the zone that count as running, and to addresses that never answered. Entries that were all silent for two seconds, or groups that were cut from each other, therefore stayed apart for good unless one of them searched the store, which each does once. Found by mutated datagrams that made three entries lose each other.

Change: each heartbeat of a hub also goes to two lost entries in turn, for the two minutes for which these are kept. An entry without contact is a hub of its own.

--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod client;
 mod fixture;
+mod fuzz;
 mod server;
 mod streaming;
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -209,6 +209,21 @@
         self.candidates.keys().copied()
     }
 
+    /// Returns up to `count` known entries that do not count as running. Successive
+    /// values of `turn` return all of them in turn.
+    pub(crate) fn lost(&self, turn: u32, count: usize, now: Instant) -> Vec<IpAddr> {
+        let peers = self.peers.iter();
+        let lost = peers.filter(|(_, peer)| !peer.is_alive(now));
+        let mut lost: Vec<IpAddr> = lost.map(|(address, _)| *address).collect();
+        if lost.len() > count {
+            lost.sort_unstable();
+            let first = usize::try_from(turn).unwrap_or_default() * count % lost.len();
+            lost.rotate_left(first);
+            lost.truncate(count);
+        }
+        lost
+    }
+
     /// Removes entries and candidates whose retention period is over.
     pub(crate) fn remove_expired(&mut self, now: Instant) {
         let recent = |at: Instant| now.saturating_duration_since(at) < RETENTION_PERIOD;
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -46,6 +46,9 @@
 /// its own.
 const MAX_REMOTE_MEMBERS: usize = 8;
 
+/// Largest number of lost entries to which one heartbeat of a hub is sent.
+const MAX_LOST_RECIPIENTS: usize = 2;
+
 /// Largest number of entries that one digest lists, so that the digest fits into
 /// one packet.
 const MAX_DIGEST_MEMBERS: usize = 28;
@@ -273,10 +276,17 @@
     }
 
     async fn send_heartbeat(&self) {
+        let heartbeat = self.heartbeat();
         let mut addresses = self.zone_hubs();
         addresses.extend(self.membership().candidates());
-        let heartbeat = Datagram::Heartbeat(self.heartbeat());
-        self.send(&heartbeat, &addresses).await;
+        // Groups of entries that were cut from each other meet again through
+        // their hubs. An entry without contact is a hub of its own.
+        if self.is_hub() {
+            let now = Instant::now();
+            let turn = heartbeat.sequence;
+            addresses.extend(self.membership().lost(turn, MAX_LOST_RECIPIENTS, now));
+        }
+        self.send(&Datagram::Heartbeat(heartbeat), &addresses).await;
     }
 
     /// Sends a digest of this hub's zone to the entries of the zone, and with
--- a/crates/peers/tests/all/fixture.rs
+++ b/crates/peers/tests/all/fixture.rs
@@ -12,9 +12,13 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-/// Port of all entries; each has its own address.
+/// Port of the entries of most tests; each entry has its own address.
 const PORT: u16 = 17_300;
 
+/// Port of entries that get messages with wrong addresses, which must not reach
+/// the entries of other tests.
+const ISOLATED_PORT: u16 = 17_301;
+
 /// Last octet of the address of the next entry that a test starts.
 static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(2);
 
@@ -31,6 +35,7 @@
 /// Entry that runs until it is dropped.
 pub(crate) struct Entry {
     pub(crate) ip: IpAddr,
+    port: u16,
     pub(crate) peers: Peers,
     pub(crate) state: Arc<State>,
     /// Runtime of the entry; its shutdown ends all tasks of the entry.
@@ -38,7 +43,7 @@
 }
 
 impl Entry {
-    fn start(ip: IpAddr, zone: &str, started_ms: u64, seed: IpAddr) -> Self {
+    fn start(ip: IpAddr, port: u16, zone: &str, started_ms: u64, seed: IpAddr) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -47,7 +52,7 @@
         let zone: Zone = zone.parse().unwrap();
         let state = Arc::<State>::default();
         let settings = Settings {
-            address: SocketAddr::new(ip, PORT),
+            address: SocketAddr::new(ip, port),
             zone: zone.clone(),
             started_ms,
         };
@@ -81,6 +86,7 @@
         peers.add_candidates([seed]);
         Self {
             ip,
+            port,
             peers,
             state,
             runtime: Some(runtime),
@@ -117,8 +123,14 @@
         found.map(|(_, peer)| peer.rate)
     }
 
+    /// Stops all tasks of the entry for some time, as a frozen machine does.
+    pub(crate) fn freeze(&self, duration: Duration) {
+        let runtime = self.runtime.as_ref().unwrap();
+        runtime.spawn(async move { std::thread::sleep(duration) });
+    }
+
     pub(crate) fn address(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, PORT)
+        SocketAddr::new(self.ip, self.port)
     }
 }
 
@@ -132,16 +144,31 @@
 
 /// Starts entries of one zone, each with the first one as its seed.
 pub(crate) fn zone(count: u8) -> Vec<Entry> {
+    zone_on(PORT, count)
+}
+
+/// Starts entries of one zone like [`zone`], which no entries of other tests can
+/// reach.
+pub(crate) fn isolated_zone(count: u8) -> Vec<Entry> {
+    zone_on(ISOLATED_PORT, count)
+}
+
+fn zone_on(port: u16, count: u8) -> Vec<Entry> {
     let first = NEXT_ADDRESS.fetch_add(count, Ordering::SeqCst);
     let ips: Vec<IpAddr> = (first..first + count).map(address).collect();
     ips.iter()
-        .map(|ip| Entry::start(*ip, "hobart", 1, ips[0]))
+        .map(|ip| Entry::start(*ip, port, "hobart", 1, ips[0]))
         .collect()
 }
 
 /// Starts an entry on the address of a stopped one, as another process.
 pub(crate) fn restart(ip: IpAddr, seed: IpAddr) -> Entry {
-    Entry::start(ip, "hobart", 2, seed)
+    Entry::start(ip, PORT, "hobart", 2, seed)
+}
+
+/// Returns an address that no entry uses.
+pub(crate) fn free_address() -> IpAddr {
+    address(NEXT_ADDRESS.fetch_add(1, Ordering::SeqCst))
 }
 
 /// Returns a loopback address that is unlikely to be used by another test
--- a/crates/peers/tests/all/main.rs
+++ b/crates/peers/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the exchange between entries over loopback.
 
 mod fixture;
+mod fuzz;
 mod snapshot;
 mod zone;
--- a/crates/peers/tests/all/zone.rs
+++ b/crates/peers/tests/all/zone.rs
@@ -87,3 +87,25 @@
 
     eventually("the new process is known", || are_fully_connected(&entries)).await;
 }
+
+/// Guards against entries that no longer know each other after all of them were
+/// silent at once, or after groups of them were cut from each other.
+#[tokio::test]
+async fn entries_that_lost_each_other_meet_again() {
+    let entries = zone(4);
+    let ips: Vec<IpAddr> = entries.iter().map(|entry| entry.ip).collect();
+    eventually("all see each other", || {
+        entries.iter().all(|entry| entry.sees_responsive(&ips))
+    })
+    .await;
+
+    for entry in &entries {
+        entry.freeze(Duration::from_secs(3));
+    }
+    tokio::time::sleep(Duration::from_millis(3100)).await;
+
+    eventually("all see each other again", || {
+        entries.iter().all(|entry| entry.sees_responsive(&ips))
+    })
+    .await;
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod fuzz;
 pub mod load;
 pub mod process;
 pub mod relay;
