Back off longer from a store that refuses an entry but serves others

Cause: a reader that the store refuses repeated its calls every second, for each of two subjects, although the next entries had taken its place.

Change: while another entry reports a recent response of the store, the delay between calls grows up to 4 s instead of 1 s.

Test: refused::a_refused_reader_backs_off_while_others_read (failed first: 18 calls in 8 s; 14 permitted).

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -29,6 +29,14 @@
 /// Upper bound of the delay after failed calls.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Upper bound of the delay after failed calls while the store answers other
+/// entries, which then read it in place of this one.
+const MAX_REPLACED_RETRY_DELAY: Duration = Duration::from_secs(4);
+
+/// Age of the newest store response of another entry up to which the store
+/// answers others: that of a reader that waits for a change.
+const MAX_REPLACED_AGE: Duration = Duration::from_millis(2500);
+
 /// Interval at which an entry that does not read the store checks whether it
 /// should start to.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -172,8 +180,14 @@
                     shared.set_store_failing(subject, true);
                     peers.announce().await;
                 }
-                tokio::time::sleep(retry_delay).await;
-                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                let is_replaced = shared.peer_store_age(Instant::now()) <= MAX_REPLACED_AGE;
+                let max_delay = if is_replaced {
+                    MAX_REPLACED_RETRY_DELAY
+                } else {
+                    MAX_RETRY_DELAY
+                };
+                tokio::time::sleep(retry_delay.min(max_delay)).await;
+                retry_delay = (retry_delay * 2).min(max_delay);
             }
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -269,6 +269,13 @@
         store_status.peer_response = store_status.peer_response.max(at);
     }
 
+    /// Returns the age of the newest successful store response to another entry
+    /// that this one knows of.
+    pub(crate) fn peer_store_age(&self, now: Instant) -> Duration {
+        let response = self.store_status().peer_response;
+        response.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    }
+
     /// Returns the age of the newest successful store response that this entry
     /// knows of.
     pub(crate) fn store_age(&self, now: Instant) -> Duration {
