Leave slots of targets free that would slow all their requests down

Cause: requests were sent to any free slot. Targets whose slots are nearly all in use take 1.7 times as long for each request, so that four slots in use complete fewer requests than three, and six fewer than four.

Change: each pool observes how long requests take at each level of utilization, uses the number of slots with which a target completes the most, and lets further requests wait in the entry's queue. At most once a second a request tries the other slots.

Tests: placement contention, with a simulation of a burst that fills targets for good when every free slot is used.

--- a/crates/placement/src/candidate.rs
+++ b/crates/placement/src/candidate.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::contention::Level;
 use crate::health::Health;
 use crate::report::{Load, Outcome, Report};
 
@@ -117,6 +118,16 @@
     id: u64,
     started: Instant,
     expected: Duration,
+    /// Utilization of the target with this attempt.
+    level: Level,
+}
+
+/// Attempt that ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Completed {
+    pub(crate) elapsed: Duration,
+    pub(crate) expected: Duration,
+    pub(crate) level: Level,
 }
 
 impl Candidate {
@@ -141,22 +152,32 @@
         self.endpoint = endpoint;
     }
 
-    pub(crate) fn begin_attempt(&mut self, id: u64, expected: Duration, now: Instant) {
+    /// Begins an attempt. `occupancy` is the number of requests on the target
+    /// before it.
+    pub(crate) fn begin_attempt(
+        &mut self,
+        id: u64,
+        expected: Duration,
+        occupancy: u32,
+        now: Instant,
+    ) {
         self.untried = false;
+        let level = Level::new(occupancy + 1, self.slots());
         self.in_flight.push(Attempt {
             id,
             started: now,
             expected,
+            level,
         });
     }
 
-    /// Ends an attempt and returns its duration.
+    /// Ends an attempt.
     pub(crate) fn end_attempt(
         &mut self,
         id: u64,
         outcome: Outcome,
         now: Instant,
-    ) -> Option<Duration> {
+    ) -> Option<Completed> {
         let index = self.in_flight.iter().position(|attempt| attempt.id == id)?;
         let attempt = self.in_flight.swap_remove(index);
         match outcome {
@@ -167,7 +188,11 @@
             Outcome::Refused if self.reports_free_slot() => self.health.record_failure(now),
             Outcome::Cancelled | Outcome::Refused => {}
         }
-        Some(now.saturating_duration_since(attempt.started))
+        Some(Completed {
+            elapsed: now.saturating_duration_since(attempt.started),
+            expected: attempt.expected,
+            level: attempt.level,
+        })
     }
 
     pub(crate) fn record_failure(&mut self, now: Instant) {
@@ -262,10 +287,6 @@
         reported.unwrap_or(self.endpoint.slots).max(1)
     }
 
-    pub(crate) fn has_free_slot(&self, baseline: Baseline, now: Instant) -> bool {
-        self.occupancy(baseline, now) < self.slots()
-    }
-
     /// Estimates the current slowdown. The estimate moves from the reported
     /// slowdown to the mean over all targets as the report ages, because the
     /// speed is increasingly likely to have changed since.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod budget;
 mod candidate;
+mod contention;
 mod estimate;
 mod health;
 mod pool;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::candidate::{Baseline, Candidate, Endpoint, Lifecycle};
+use crate::contention::Contention;
 use crate::report::{Load, Outcome, Snapshot};
 use crate::statement::Statements;
 
@@ -98,6 +99,15 @@
     NoTarget,
 }
 
+/// Slots of a target that requests may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SlotUse {
+    /// Those with which the target completes the most requests.
+    Usable,
+    /// All of them.
+    All,
+}
+
 /// Pool of the targets of one service, as one entry sees them.
 #[derive(Debug)]
 pub struct Pool {
@@ -105,6 +115,7 @@
     candidates: HashMap<Target, Candidate>,
     statements: Statements,
     baseline: Baseline,
+    contention: Contention,
     attempts: u64,
     first_added: Option<Instant>,
 }
@@ -121,6 +132,7 @@
                 slowdown: INITIAL_SLOWDOWN,
                 request_time: INITIAL_REQUEST_TIME,
             },
+            contention: Contention::default(),
             attempts: 0,
             first_added: None,
         }
@@ -215,7 +227,10 @@
 
     /// Chooses a target for a request.
     pub fn choose(&mut self, criteria: Criteria<'_>, now: Instant) -> Choice {
-        let choice = self.evaluate(criteria, now);
+        let mut choice = self.evaluate(criteria, SlotUse::Usable, now);
+        if choice == Choice::Saturated && self.contention.try_begin_trial(now) {
+            choice = self.evaluate(criteria, SlotUse::All, now);
+        }
         if let Choice::Probe(targets) = &choice {
             for target in targets {
                 if let Some(candidate) = self.candidates.get_mut(&target.id) {
@@ -226,7 +241,7 @@
         choice
     }
 
-    fn evaluate(&self, criteria: Criteria<'_>, now: Instant) -> Choice {
+    fn evaluate(&self, criteria: Criteria<'_>, slot_use: SlotUse, now: Instant) -> Choice {
         let mut ranked = self.rank(criteria, now);
         let Some(&(_, best)) = ranked.first() else {
             return match self.first_pause_end(criteria, now) {
@@ -253,11 +268,19 @@
             return Choice::Send(suitable.endpoint.clone());
         }
         if criteria.immediate {
-            let (cost, best) = &ranked[0];
-            return if *cost <= criteria.max_cost {
-                Choice::Send(best.endpoint.clone())
-            } else {
-                Choice::Saturated
+            // A target that slows down when it is full gets no request beyond its
+            // usable slots. The request waits here, where it can still go to
+            // whichever target has a usable slot first.
+            let preferred = ranked.iter().find(|(_, candidate)| {
+                slot_use == SlotUse::All
+                    || self.contention.usable_slots(candidate.slots()) == candidate.slots()
+                    || self.has_slot(candidate, slot_use, now)
+            });
+            return match preferred {
+                Some((cost, best)) if *cost <= criteria.max_cost => {
+                    Choice::Send(best.endpoint.clone())
+                }
+                _ => Choice::Saturated,
             };
         }
         ranked.retain(|(_, candidate)| {
@@ -267,7 +290,7 @@
             stale
                 && !criteria.probed.contains(&candidate.endpoint.id)
                 && !candidate.is_probe_pending(now)
-                && candidate.has_free_slot(self.baseline, now)
+                && self.has_slot(candidate, slot_use, now)
         });
         if ranked.is_empty() {
             return Choice::Slow;
@@ -313,8 +336,9 @@
         self.baseline.request_time = baseline.request_time.mul_f64(1.0 - REQUEST_TIME_GAIN)
             + request_time.mul_f64(REQUEST_TIME_GAIN);
         if let Some(candidate) = self.candidates.get_mut(target) {
-            let slowdown = candidate.slowdown(baseline, now).max(1.0);
-            candidate.begin_attempt(self.attempts, service_time.mul_f64(slowdown), now);
+            let expected = service_time.mul_f64(candidate.slowdown(baseline, now).max(1.0));
+            let occupancy = candidate.occupancy(baseline, now);
+            candidate.begin_attempt(self.attempts, expected, occupancy, now);
         }
         self.attempts
     }
@@ -339,9 +363,13 @@
         outcome: Outcome,
         now: Instant,
     ) -> Option<Duration> {
-        self.candidates
-            .get_mut(target)?
-            .end_attempt(attempt, outcome, now)
+        let candidate = self.candidates.get_mut(target)?;
+        let completed = candidate.end_attempt(attempt, outcome, now)?;
+        if outcome == Outcome::Success {
+            self.contention
+                .observe(completed.level, completed.elapsed, completed.expected);
+        }
+        Some(completed.elapsed)
     }
 
     /// Records the load that a target reports.
@@ -385,13 +413,23 @@
         self.candidates.get(target)?.reported_slowdown()
     }
 
+    /// Whether a target has a slot for another request.
+    fn has_slot(&self, candidate: &Candidate, slot_use: SlotUse, now: Instant) -> bool {
+        let slots = candidate.slots();
+        let limit = match slot_use {
+            SlotUse::Usable => self.contention.usable_slots(slots),
+            SlotUse::All => slots,
+        };
+        candidate.occupancy(self.baseline, now) < limit
+    }
+
     /// Whether a fresh report shows that a target is fast and has a free slot.
     fn is_suitable(&self, candidate: &Candidate, now: Instant) -> bool {
         let fresh = candidate
             .report_age(now)
             .is_some_and(|age| age <= MAX_FRESH_AGE);
         fresh
-            && candidate.has_free_slot(self.baseline, now)
+            && self.has_slot(candidate, SlotUse::Usable, now)
             && candidate.slowdown(self.baseline, now) <= MAX_FAST_SLOWDOWN
     }
 
--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of target selection.
 
 mod budget;
+mod contention;
 mod fixture;
 mod pool;
 mod queue;
