Let few entries read the store after a loss of all entries

Cause: an entry that starts again took itself for a reader as soon as it had contact to any other, because it knew few; and it read the targets on its own while the first readers still did.

Change: the decision is code of its own. While no known entry has data, those without contact and the first ones by rank read after 80 ms and the others 250 ms later; once one has data, the others fetch it and wait 400 ms until they know their rank. After its first read an entry watches the store from then on only if its rank says so. Missing targets are fetched without delay.

Tests: node start.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -13,6 +13,7 @@
 
 use crate::node::Shared;
 use crate::reader::Position;
+use crate::start::{Data, Knowledge};
 use crate::store::{Batch, Item, Subject};
 use crate::task;
 
@@ -41,23 +42,6 @@
 /// should start to.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time for which an entry waits for other entries before it reads the store
-/// when the whole installation starts, because only a few entries need to read.
-const FIRST_START_JOIN_DELAY: Duration = Duration::from_millis(1500);
-
-/// Time for which an entry that starts again waits for other entries before it
-/// reads the store. Short, because running entries answer within milliseconds,
-/// and callers are waiting if there are none.
-const RESTART_JOIN_DELAY: Duration = Duration::from_millis(80);
-
-/// Time after the start of an installation for which an entry that receives
-/// datagrams of others collects the membership before it reads the store.
-const MEMBERSHIP_DELAY: Duration = Duration::from_millis(700);
-
-/// Time after the join delay from which an entry that still has no data reads
-/// the store whatever its rank.
-const MAX_START_DELAY: Duration = Duration::from_millis(1500);
-
 /// Interval at which an entry that is not registered checks whether it is a hub
 /// and must register in the store.
 const REGISTER_INTERVAL: Duration = Duration::from_secs(2);
@@ -91,19 +75,11 @@
     task::spawn("join", move || join(Arc::clone(&shared), peers.clone()));
 }
 
-fn join_delay(shared: &Shared) -> Duration {
-    if shared.settings.first_start {
-        FIRST_START_JOIN_DELAY
-    } else {
-        RESTART_JOIN_DELAY
-    }
-}
-
 /// Searches for the other entries, and registers this one if it is a hub.
 /// Entries that start find a hub through their seeds, or else through the store.
 async fn join(shared: Arc<Shared>, peers: Peers) {
     peers.add_candidates(shared.settings.seeds.iter().copied());
-    tokio::time::sleep(join_delay(&shared)).await;
+    tokio::time::sleep_until(shared.start.joined_at()).await;
     let mut registered = false;
     let mut searched = false;
     loop {
@@ -135,12 +111,11 @@
 
 /// Watches one subject of the store while this entry is one of its readers.
 async fn watch_subject(shared: Arc<Shared>, peers: Peers, subject: Subject) {
-    let started_at = Instant::now();
     let mut after = None;
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut is_failing = false;
     loop {
-        if !should_read(&shared, &peers, subject, started_at) {
+        if !should_read(&shared, &peers, subject) {
             after = None;
             if std::mem::take(&mut is_failing) {
                 shared.set_store_failing(subject, false);
@@ -163,7 +138,10 @@
                 let is_full = after.is_none();
                 after = Some(batch.revision);
                 let changed = apply_batch(&shared, &peers, subject, batch, is_full).await;
-                if changed && !is_full {
+                if is_full {
+                    // After a loss of all entries many read, and few go on.
+                    tokio::time::sleep_until(shared.start.ranked_at()).await;
+                } else if changed {
                     tokio::time::sleep(CHANGE_BATCH_DELAY).await;
                 }
             }
@@ -193,18 +171,23 @@
     }
 }
 
-/// Returns whether this entry, started at `started_at`, should read the store.
-fn should_read(shared: &Shared, peers: &Peers, subject: Subject, started_at: Instant) -> bool {
+/// Returns whether this entry should read the store.
+fn should_read(shared: &Shared, peers: &Peers, subject: Subject) -> bool {
     let now = Instant::now();
     let position = position(shared, peers, now);
-    let has_joined = if position.is_isolated() {
-        started_at + join_delay(shared) <= now
-    } else {
-        !shared.settings.first_start || started_at + MEMBERSHIP_DELAY <= now
+    let store_age = shared.store_age(now);
+    let knowledge = Knowledge {
+        is_isolated: position.is_isolated(),
+        data: if shared.has_data(subject) {
+            Data::Here
+        } else if store_age < Duration::MAX {
+            Data::Elsewhere
+        } else {
+            Data::Nowhere
+        },
+        is_reader: position.should_read(store_age),
     };
-    let is_overdue =
-        !shared.has_data(subject) && started_at + join_delay(shared) + MAX_START_DELAY <= now;
-    has_joined && (is_overdue || position.should_read(shared.store_age(now)))
+    shared.start.should_read(knowledge, now)
 }
 
 /// Applies a batch read from the store and publishes the changes. Returns
@@ -311,7 +294,10 @@
                 }
             }
             Event::Watermark(from, watermark) => {
-                shared.record_peer_store_age(Duration::from_millis(watermark.store_age_ms.into()));
+                if watermark.store_age_ms < u32::MAX {
+                    let store_age = Duration::from_millis(watermark.store_age_ms.into());
+                    shared.record_peer_store_age(store_age);
+                }
                 if is_newer(&shared, watermark)
                     && let Some(fetch) = shared.try_begin_fetch()
                 {
@@ -332,7 +318,7 @@
 
 /// Fetches the data of another entry that is newer than this entry's.
 async fn catch_up(shared: Arc<Shared>, peers: Peers, from: IpAddr, watermark: Watermark) {
-    if watermark.state <= shared.gateway.version() {
+    if watermark.state <= shared.gateway.version() && shared.replica().is_complete() {
         tokio::time::sleep(FETCH_DELAY).await;
     }
     let mut state_changed = false;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod reader;
 mod replica;
 mod settings;
+mod start;
 mod store;
 mod task;
 
@@ -20,4 +21,5 @@
 pub use node::{Error, Node};
 pub use replica::Replica;
 pub use settings::Settings;
+pub use start::{Data, Knowledge, Start};
 pub use store::{Batch, Item, Record, Store, Subject};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,6 +23,7 @@
 use crate::follower;
 use crate::replica::Replica;
 use crate::settings::Settings;
+use crate::start::Start;
 use crate::store::{Store, Subject};
 use crate::task;
 
@@ -70,6 +71,7 @@
     pub(crate) settings: Settings,
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) store: Arc<dyn Store>,
+    pub(crate) start: Start,
     replica: Mutex<Replica>,
     /// Status of the store for the desired state and the targets.
     store_status: Mutex<StoreStatus>,
@@ -134,7 +136,9 @@
             CancellationToken::new(),
             TaskTracker::new(),
         ));
+        let start = Start::new(settings.first_start, Instant::now());
         let shared = Arc::new(Shared {
+            start,
             gateway: Arc::clone(&gateway),
             store,
             replica: Mutex::default(),
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the replica of registered targets.
 
 mod replica;
+mod start;
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -72,7 +72,7 @@
     /// Store revision up to which the entry has all target registrations.
     pub targets: u64,
     /// Age of the newest successful store response that the entry knows of, at
-    /// itself or at another entry, in milliseconds.
+    /// itself or at another entry, in milliseconds; `u32::MAX` if it knows of none.
     pub store_age_ms: u32,
 }
 
