Bound only the time in which a caller takes bytes

Cause: the write time-out of a response also ran while its next part was awaited from the target, so that a slow target ended a response after 10 s whatever the deadline of the request.

Change: it runs only while there are bytes that the connection does not take. Found by reading; the deadline of the request bounds the rest.

--- a/crates/http1/src/output.rs
+++ b/crates/http1/src/output.rs
@@ -26,7 +26,7 @@
     encoded: Bytes,
     rest: Option<Rest>,
     framing: Framing,
-    /// Time at which the connection last took bytes.
+    /// Time at which the connection last took bytes or had none to take.
     progress: Instant,
 }
 
@@ -52,9 +52,10 @@
         }
     }
 
-    /// Returns the time by which the connection must take further bytes.
-    pub(crate) fn deadline(&self) -> Instant {
-        self.progress + WRITE_TIMEOUT
+    /// Returns the time by which the connection must take further bytes; `None`
+    /// while the next part of the body is awaited.
+    pub(crate) fn deadline(&self) -> Option<Instant> {
+        (!self.encoded.is_empty()).then(|| self.progress + WRITE_TIMEOUT)
     }
 
     /// Returns the framing of the body.
@@ -115,7 +116,6 @@
                 }
             }
         }
-        // The peer is not to blame for the time that the part took to arrive.
         self.progress = Instant::now();
         Ok(())
     }
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -169,7 +169,7 @@
         }
         let reading = !last && pending.len() + queue.len() < MAX_PIPELINED_REQUESTS;
         let read_deadline = deadline(reader, service.as_ref(), idle_since, is_idle);
-        let write_deadline = output.as_ref().map(Output::deadline);
+        let write_deadline = output.as_ref().and_then(Output::deadline);
         tokio::select! {
             biased;
             Some(answer) = pending.next(), if !pending.is_empty() => queue.push_back(answer),
