--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -177,6 +177,11 @@
         self.runs = {}
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        # Length of the answers to GET requests, and the share of the answers that break off.
+        self.body_bytes = 128
+        self.break_off = 0.0
+        self.fault_random = random.Random(seed + 1000)
+        self.broken_off = set()
 
     async def start(self, store):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
@@ -211,6 +216,13 @@
                 answer = await self.unless_closed(reader, self.answer(first, fields))
                 if answer is None:
                     return
+                attempt = fields.get("x-carobdrift-attempt-id")
+                if attempt and self.fault_random.random() < self.break_off:
+                    # Breaks off somewhere within the answer.
+                    self.broken_off.add(attempt)
+                    writer.write(answer[:self.fault_random.randrange(200, len(answer))])
+                    await writer.drain()
+                    return
                 writer.write(answer)
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
@@ -285,7 +297,8 @@
         finally:
             await self.give_slot()
         return message("HTTP/1.1 200 OK", echo + self.load() + [
-            ("X-Carobdrift-Server-Signature", f"{self.ident}.{attempt}")], attempt.encode() * 8)
+            ("X-Carobdrift-Server-Signature", f"{self.ident}.{attempt}")],
+            b"x" * (self.body_bytes if method == "GET" else 128))
 
 
 class Requester:
