--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -491,6 +491,8 @@
             return await asyncio.wait_for(body(record, installation), 110)
         finally:
             installation.end()
+            # Lets the stand-ins notice that their connections have closed.
+            await asyncio.sleep(0.3)
 
     try:
         broken = asyncio.run(main())
