--- a/crates/peers/src/snapshot.rs
+++ b/crates/peers/src/snapshot.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use tokio::time::Instant;
 
 use crate::datagram::{Row, Watermark};
 
@@ -75,8 +76,11 @@
     #[error(transparent)]
     Exchange(#[from] ExchangeError),
     /// The entry did not answer within 800 ms.
-    #[error("no response within the fetch timeout")]
-    TimedOut,
+    #[error("no response within the fetch timeout, {received} bytes of it were received")]
+    TimedOut {
+        /// Bytes of the response that were received.
+        received: usize,
+    },
     /// The response can't be decoded. Entries of another build may encode
     /// snapshots differently.
     #[error("response can't be decoded: {0}")]
@@ -89,20 +93,39 @@
 ///
 /// Fails when the entry does not answer within 800 ms.
 pub async fn fetch(address: SocketAddr, baseline: Baseline) -> Result<Snapshot, FetchError> {
-    let fetch = async {
-        let mut connection = Connection::open(address, CONNECT_TIMEOUT, MAX_SNAPSHOT_BYTES).await?;
-        let targets = baseline.targets.map(|revision| revision.to_string());
-        let target = format!("/{}/{}", baseline.state, targets.unwrap_or_default());
-        let request = encode_request(&Method::GET, &target, &HeaderMap::new(), &[]);
-        let mut sent = 0;
-        let response = connection
-            .exchange(&Method::GET, &request, &mut sent)
-            .await?;
-        Ok(postcard::from_bytes(&response.body)?)
-    };
-    tokio::time::timeout(FETCH_TIMEOUT, fetch)
-        .await
-        .map_err(|_| FetchError::TimedOut)?
+    let mut received = Vec::new();
+    let fetch = read(address, baseline, &mut received);
+    match tokio::time::timeout(FETCH_TIMEOUT, fetch).await {
+        Ok(result) => result?,
+        Err(_) => {
+            return Err(FetchError::TimedOut {
+                received: received.len(),
+            });
+        }
+    }
+    Ok(postcard::from_bytes(&received)?)
+}
+
+/// Reads the response of an entry as far as it arrives.
+async fn read(
+    address: SocketAddr,
+    baseline: Baseline,
+    received: &mut Vec<u8>,
+) -> Result<(), FetchError> {
+    let mut connection = Connection::open(address, CONNECT_TIMEOUT, MAX_SNAPSHOT_BYTES).await?;
+    let targets = baseline.targets.map(|revision| revision.to_string());
+    let target = format!("/{}/{}", baseline.state, targets.unwrap_or_default());
+    let request = encode_request(&Method::GET, &target, &HeaderMap::new(), &[]);
+    let mut sent = 0;
+    let response = connection
+        .start(&Method::GET, request.into(), 1, &mut sent)
+        .await?;
+    received.extend_from_slice(&response.body);
+    let failed = |cause| ExchangeError { sent, cause };
+    while let Some(part) = connection.next_part().await.map_err(failed)? {
+        received.extend_from_slice(&part);
+    }
+    Ok(())
 }
 
 /// Source of the snapshots that this entry serves.
@@ -166,8 +189,16 @@
         let Some(baseline) = parse(request.path()) else {
             return Response::new(StatusCode::BAD_REQUEST, Bytes::new());
         };
+        let start = Instant::now();
         match self.encode(baseline) {
-            Ok(body) => Response::new(StatusCode::OK, body),
+            Ok(body) => {
+                log::info!(
+                    target: "peers",
+                    "event=snapshot-served since={} bytes={} encode_us={}",
+                    baseline.state, body.len(), start.elapsed().as_micros()
+                );
+                Response::new(StatusCode::OK, body)
+            }
             Err(error) => {
                 log::error!(target: "peers", "event=snapshot-failed error=\"{error}\"");
                 Response::new(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
