Peers: limit concurrent transfers, send differences, and bound stalls

Callers saw routes refused that had been added: entries did not get a new desired state. Cause: a fetch had 0.8 s for its whole transfer, whatever the size, all entries of a zone fetched the whole state from one hub at once, and what had arrived was thrown away. On a hub of 10 Mbit/s no fetch of 395 kB completed, however often it was repeated. Targets came with the state, so that a drain that was lost as a datagram waited for it as well.

A fetch now fails only after 0.8 s without a byte. An entry sends few large transfers at a time, by the bandwidth of its link, and refers other requesters to entries that have the data, so the number of sources grows with every transfer. A state is sent as the difference to the version that the requester has, checked by a fingerprint. State and targets are fetched on their own. Versions of a state share equal routes.

The new test a_transfer_that_progresses_is_not_given_up, written for the old functions, failed on the old code.

--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -1,6 +1,6 @@
 //! State of each service and route that requests share.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -114,12 +114,13 @@
         }
     }
 
-    pub(crate) fn retain_routes(&self, routes: &[Route]) {
+    pub(crate) fn retain_routes(&self, routes: &[Arc<Route>]) {
+        let names: HashSet<&str> = routes.iter().map(|route| route.name.as_str()).collect();
         let mut state = self.lock();
-        state.splits.retain(routes);
+        state.splits.retain(&names);
         state
             .estimates
-            .retain(|name, _| routes.iter().any(|route| route.name == *name));
+            .retain(|name, _| names.contains(name.as_str()));
     }
 
     pub(crate) fn choose_service(&self, route: &Route) -> Option<Service> {
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -74,6 +74,12 @@
         false
     }
 
+    /// Returns the size of the kernel's send buffer of a connection in bytes, or
+    /// `None` for the system's default.
+    fn send_buffer(&self) -> Option<usize> {
+        None
+    }
+
     /// Serves a request. The future is dropped when the caller disconnects.
     fn call(self: Arc<Self>, request: Request) -> impl Future<Output = Response> + Send;
 }
@@ -112,6 +118,11 @@
     // Without TCP_NODELAY, small responses wait for delayed acknowledgements.
     // Setting the option fails only on a connection that has already ended.
     let _ = stream.set_nodelay(true);
+    if let Some(size) = service.send_buffer()
+        && let Err(error) = SockRef::from(&stream).set_send_buffer_size(size)
+    {
+        log::debug!(target: "entry", "event=send-buffer-failed error=\"{error}\"");
+    }
     let (read, mut writer) = stream.into_split();
     let mut reader = Reader::new(read, service.limits());
     if !run_exchanges(&mut reader, &mut writer, &service, &stop).await {
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -5,14 +5,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_peers::{Baseline, Delta, Event, Peers, Row, Watermark, fetch};
+use carobdrift_peers::{Delta, Event, Peers, Row, Update, Watermark, fetch_state, fetch_targets};
 use carobdrift_platform::Cause;
-use carobdrift_routing::State;
+use carobdrift_routing::{Difference, Mismatch, State};
+use carobdrift_units::Version;
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::Instant;
 
 use crate::node::Shared;
 use crate::reader::Position;
+use crate::sources::Sources;
 use crate::start::{Data, Knowledge};
 use crate::store::{Batch, Item, Subject};
 use crate::task;
@@ -204,7 +206,7 @@
         let mut changed = false;
         for record in batch.records {
             if let Item::State(state) = record.item {
-                changed |= put_state(shared, state, "store");
+                changed |= put_state(shared, state, Vec::new(), "store");
             }
         }
         if changed {
@@ -298,70 +300,137 @@
                     let store_age = Duration::from_millis(watermark.store_age_ms.into());
                     shared.record_peer_store_age(store_age);
                 }
-                if is_newer(&shared, watermark)
-                    && let Some(fetch) = shared.try_begin_fetch()
-                {
-                    let catch_up = catch_up(Arc::clone(&shared), peers.clone(), from, watermark);
-                    tokio::spawn(async move {
-                        catch_up.await;
-                        drop(fetch);
-                    });
-                }
+                begin_catch_up(&shared, &peers, from, watermark);
             }
         }
     }
 }
 
-fn is_newer(shared: &Shared, watermark: Watermark) -> bool {
-    watermark.state > shared.gateway.version() || watermark.targets > shared.replica().revision()
+/// Begins to fetch the data that another entry states to have and this one lacks. The
+/// desired state can be large, and must not delay the targets.
+fn begin_catch_up(shared: &Arc<Shared>, peers: &Peers, from: IpAddr, watermark: Watermark) {
+    if watermark.state > shared.gateway.version()
+        && let Some(fetch) = shared.fetching_state.try_begin()
+    {
+        let (shared, peers) = (Arc::clone(shared), peers.clone());
+        tokio::spawn(async move {
+            catch_up_state(&shared, &peers, from, watermark.state).await;
+            drop(fetch);
+        });
+    }
+    if watermark.targets > shared.replica().revision()
+        && let Some(fetch) = shared.fetching_targets.try_begin()
+    {
+        let (shared, peers) = (Arc::clone(shared), peers.clone());
+        tokio::spawn(async move {
+            catch_up_targets(&shared, &peers, from, watermark.targets).await;
+            drop(fetch);
+        });
+    }
 }
 
-/// Fetches the data of another entry that is newer than this entry's.
-async fn catch_up(shared: Arc<Shared>, peers: Peers, from: IpAddr, watermark: Watermark) {
-    if watermark.state <= shared.gateway.version() && shared.replica().is_complete() {
-        tokio::time::sleep(FETCH_DELAY).await;
-    }
-    let mut state_changed = false;
-    if is_newer(&shared, watermark) {
-        let baseline = {
-            let replica = shared.replica();
-            Baseline {
-                state: shared.gateway.version(),
-                targets: replica.is_complete().then(|| replica.revision()),
-            }
+/// Fetches the desired state until this entry has a version at least as new as
+/// `wanted`.
+async fn catch_up_state(shared: &Shared, peers: &Peers, from: IpAddr, wanted: Version) {
+    let mut sources = Sources::new(from);
+    // After a difference that does not apply, the whole state is asked for.
+    let mut whole = false;
+    while shared.gateway.version() < wanted
+        && let Some(source) = sources.next().await
+    {
+        let since = if whole {
+            Version::NONE
+        } else {
+            shared.gateway.version()
         };
-        match fetch(peers.snapshot_address(from), baseline).await {
-            Ok(snapshot) => {
-                if let Some(state) = snapshot.state {
-                    state_changed = put_state(&shared, state, "peer");
-                }
-                if let Some(targets) = snapshot.targets {
-                    let changed = shared.replica().apply_snapshot(
-                        targets.rows,
-                        targets.revision,
-                        Instant::now(),
-                    );
-                    apply_rows(&shared, &changed, "peer");
+        let answer = fetch_state(peers.snapshot_address(source), since).await;
+        let Some(update) = sources.resolve(source, answer) else {
+            continue;
+        };
+        match resolve_update(shared, update) {
+            Ok((state, differences)) => {
+                if put_state(shared, state, differences, "peer") {
+                    // Lets the hubs refer other entries to this one, and the zone of a
+                    // hub fetch the state.
+                    peers.announce().await;
                 }
             }
-            Err(error) => {
-                log::warn!(target: "peers", "event=fetch-failed peer={from} error=\"{error}\"");
+            Err(mismatch) => {
+                log::warn!(
+                    target: "peers",
+                    "event=difference-rejected peer={source} error=\"{mismatch}\""
+                );
+                whole = true;
+                sources.retry(source);
             }
         }
     }
-    if state_changed && peers.is_hub() {
+}
+
+/// Returns the state that an update results in, and the differences that led to it.
+fn resolve_update(
+    shared: &Shared,
+    update: Update,
+) -> Result<(State, Vec<Arc<Difference>>), Mismatch> {
+    let differences = match update {
+        Update::Whole(state) => return Ok((state, Vec::new())),
+        Update::Differences(differences) => differences,
+    };
+    let table = shared.gateway.table();
+    let found = table
+        .as_ref()
+        .map_or(Version::NONE, |table| table.state().version);
+    let (Some(table), Some((first, others))) = (table, differences.split_first()) else {
+        return Err(Mismatch::Content(found));
+    };
+    let mut state = first.apply(table.state())?;
+    for difference in others {
+        state = difference.apply(&state)?;
+    }
+    Ok((state, differences))
+}
+
+/// Fetches the targets until this entry has a revision at least as new as `wanted`.
+async fn catch_up_targets(shared: &Shared, peers: &Peers, from: IpAddr, wanted: u64) {
+    if shared.replica().is_complete() {
+        tokio::time::sleep(FETCH_DELAY).await;
+    }
+    let mut sources = Sources::new(from);
+    while shared.replica().revision() < wanted
+        && let Some(source) = sources.next().await
+    {
+        let since = {
+            let replica = shared.replica();
+            replica.is_complete().then(|| replica.revision())
+        };
+        let answer = fetch_targets(peers.snapshot_address(source), since).await;
+        let Some(targets) = sources.resolve(source, answer) else {
+            continue;
+        };
+        let changed =
+            shared
+                .replica()
+                .apply_snapshot(targets.rows, targets.revision, Instant::now());
+        apply_rows(shared, &changed, "peer");
         peers.announce().await;
     }
 }
 
-fn put_state(shared: &Shared, state: State, source: &str) -> bool {
+/// Puts a desired state in force unless the current one is as new. Returns whether it
+/// was put in force.
+fn put_state(
+    shared: &Shared,
+    state: State,
+    differences: Vec<Arc<Difference>>,
+    source: &str,
+) -> bool {
     let version = state.version;
     let faults = state.validate();
     for fault in &faults {
         log::warn!(target: "state", "event=fault version={version} fault=\"{fault}\"");
     }
     let routes = state.routes.len();
-    let applied = shared.gateway.put_state(state);
+    let applied = shared.put_state(state, differences);
     if applied {
         log::info!(
             target: "state",
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod reader;
 mod replica;
 mod settings;
+mod sources;
 mod start;
 mod store;
 mod task;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,9 +7,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use carobdrift_gateway::{Dialect, Gateway, Listener, Metrics, Suspension};
-use carobdrift_peers::{
-    Baseline, Heartbeat, Peers, Phase, Snapshot, StoreHealth, Targets, Watermark,
-};
+use carobdrift_peers::{Data, Heartbeat, Peers, Phase, StoreHealth, Targets, Update, Watermark};
+use carobdrift_routing::{Difference, History, State};
 use carobdrift_units::{Version, Zone};
 use prometheus::Registry;
 use thiserror::Error;
@@ -80,15 +79,34 @@
     /// Request rate of this entry over about the last second.
     rate: AtomicU32,
     leaving: AtomicBool,
-    fetching: AtomicBool,
+    /// Differences between recent versions of the desired state. Locked while a
+    /// version is put in force.
+    history: Mutex<History>,
+    /// Whether a fetch of the desired state from another entry is in progress.
+    pub(crate) fetching_state: Fetching,
+    /// Whether a fetch of the targets from another entry is in progress.
+    pub(crate) fetching_targets: Fetching,
 }
 
+/// Whether a fetch from another entry is in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Fetching(Arc<AtomicBool>);
+
 /// Fetch from another entry that is in progress until this value is dropped.
-pub(crate) struct Fetch(Arc<Shared>);
+#[derive(Debug)]
+pub(crate) struct Fetch(Arc<AtomicBool>);
+
+impl Fetching {
+    /// Begins a fetch, unless one is in progress already.
+    pub(crate) fn try_begin(&self) -> Option<Fetch> {
+        let is_first = !self.0.swap(true, Ordering::AcqRel);
+        is_first.then(|| Fetch(Arc::clone(&self.0)))
+    }
+}
 
 impl Drop for Fetch {
     fn drop(&mut self) {
-        self.0.fetching.store(false, Ordering::Release);
+        self.0.store(false, Ordering::Release);
     }
 }
 
@@ -146,7 +164,9 @@
             started_ms: unix_ms(),
             rate: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
-            fetching: AtomicBool::new(false),
+            history: Mutex::default(),
+            fetching_state: Fetching::default(),
+            fetching_targets: Fetching::default(),
             settings,
         });
         let (peers, events) = bind_peers(&shared).await?;
@@ -301,10 +321,24 @@
         }
     }
 
-    /// Begins a fetch from another entry, unless one is in progress already.
-    pub(crate) fn try_begin_fetch(self: &Arc<Self>) -> Option<Fetch> {
-        let is_first = !self.fetching.swap(true, Ordering::AcqRel);
-        is_first.then(|| Fetch(Arc::clone(self)))
+    /// Puts a desired state in force unless the current one is as new. Returns whether
+    /// it was put in force. `differences` lead to it from the current one; if they are
+    /// not known, the difference is computed.
+    pub(crate) fn put_state(&self, state: State, differences: Vec<Arc<Difference>>) -> bool {
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let differences = match self.gateway.table() {
+            Some(table) if differences.is_empty() => {
+                vec![Arc::new(Difference::between(table.state(), &state))]
+            }
+            _ => differences,
+        };
+        let applied = self.gateway.put_state(state);
+        if applied {
+            for difference in differences {
+                history.record(difference);
+            }
+        }
+        applied
     }
 
     fn phase(&self) -> Phase {
@@ -347,20 +381,30 @@
         }
     }
 
-    /// Returns the data that is newer than the baseline of another entry.
-    fn snapshot(&self, baseline: Baseline) -> Snapshot {
-        let table = self.gateway.table();
-        let state = table
-            .map(|table| table.state().clone())
-            .filter(|state| state.version > baseline.state);
+    /// Returns what leads from a version of the desired state to the current one;
+    /// `None` if this entry has none or it is not newer.
+    fn state_since(&self, version: Version) -> Option<Update> {
+        let table = self.gateway.table()?;
+        let state = table.state();
+        if state.version <= version {
+            return None;
+        }
+        let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        Some(match history.since(version, state.routes.len()) {
+            Some(differences) => Update::Differences(differences),
+            None => Update::Whole(state.clone()),
+        })
+    }
+
+    /// Returns the targets if this entry has all of them and they are newer than a
+    /// store revision.
+    fn targets_since(&self, revision: Option<u64>) -> Option<Targets> {
         let replica = self.replica();
-        let revision = replica.revision();
-        let targets =
-            (replica.is_complete() && baseline.targets < Some(revision)).then(|| Targets {
-                revision,
-                rows: replica.rows(),
-            });
-        Snapshot { state, targets }
+        let newest = replica.revision();
+        (replica.is_complete() && revision < Some(newest)).then(|| Targets {
+            revision: newest,
+            rows: replica.rows(),
+        })
     }
 }
 
@@ -372,18 +416,19 @@
         address,
         zone: shared.settings.zone.clone(),
         started_ms: shared.started_ms,
+        link: shared.settings.link,
     };
     let for_heartbeat = Arc::clone(shared);
-    let for_watermark = Arc::clone(shared);
-    let for_snapshot = Arc::clone(shared);
-    Peers::bind(
-        settings,
-        Box::new(move |sequence| for_heartbeat.heartbeat(sequence)),
-        Box::new(move || for_watermark.watermark()),
-        Box::new(move |baseline| for_snapshot.snapshot(baseline)),
-    )
-    .await
-    .map_err(|cause| Error::Listen { address, cause })
+    let for_state = Arc::clone(shared);
+    let for_targets = Arc::clone(shared);
+    let data = Data {
+        heartbeat: Box::new(move |sequence| for_heartbeat.heartbeat(sequence)),
+        state: Box::new(move |since| for_state.state_since(since)),
+        targets: Box::new(move |since| for_targets.targets_since(since)),
+    };
+    Peers::bind(settings, data)
+        .await
+        .map_err(|cause| Error::Listen { address, cause })
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use carobdrift_gateway as gateway;
-use carobdrift_units::Zone;
+use carobdrift_units::{BitRate, Zone};
 
 /// Settings of an entry.
 #[derive(Debug, Clone, PartialEq)]
@@ -26,6 +26,8 @@
     pub first_start: bool,
     /// Processor capacity of the machine, in thousandths of a core.
     pub capacity: u32,
+    /// Bandwidth of the machine's link.
+    pub link: BitRate,
     /// Longest TTL of an address answer that the platform allows.
     pub max_ttl: Duration,
     /// Time between the request to stop and the forced end of the process.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -5,16 +5,22 @@
 //! digests of the membership and changes of targets to all entries of its zone
 //! and to the hubs of the other zones, so the traffic between zones grows with
 //! the number of zones, not of entries. There is no coordinator: each entry
-//! keeps its own [`Membership`] and derives the hubs from it. Data that was
-//! missed because a datagram was lost is fetched as a [`Snapshot`].
+//! keeps its own [`Membership`] and derives the hubs from it. Desired states, and
+//! changes of targets that were missed because a datagram was lost, are fetched: as an
+//! [`Update`] and as [`Targets`]. An entry sends few large ones at a time and refers
+//! other requesters to entries that have the data already.
 
 mod datagram;
 mod digest;
+mod fetch;
 mod membership;
 mod peers;
+mod server;
 mod snapshot;
+mod transfer;
 
 pub use datagram::{Delta, Heartbeat, Phase, Row, StoreHealth, Watermark};
+pub use fetch::{FetchError, fetch_state, fetch_targets};
 pub use membership::{Membership, Peer};
-pub use peers::{Event, Peers, Settings};
-pub use snapshot::{Baseline, FetchError, Snapshot, Targets, fetch};
+pub use peers::{Data, Event, Peers, Settings};
+pub use snapshot::{Answer, Targets, Update};
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -7,7 +7,7 @@
 use carobdrift_units::Zone;
 use tokio::time::Instant;
 
-use crate::datagram::{Heartbeat, Member, Phase, StoreHealth, Summary};
+use crate::datagram::{Heartbeat, Member, Phase, StoreHealth, Summary, Watermark};
 
 /// Number of hubs in each zone. Two, so that the loss of one leaves no gap.
 pub(crate) const HUBS_PER_ZONE: usize = 2;
@@ -21,6 +21,9 @@
 /// because a frozen entry delays the requests of its callers.
 const RESPONSIVE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Largest number of entries to which one requester of data is referred.
+const MAX_PROVIDERS: usize = 12;
+
 /// Time for which a lost entry, or a candidate that never answered, is kept.
 const RETENTION_PERIOD: Duration = Duration::from_mins(2);
 
@@ -51,6 +54,8 @@
     /// Addresses that may belong to entries but have not answered yet, with the
     /// time at which they were added.
     candidates: HashMap<IpAddr, Instant>,
+    /// Versions of the data that entries last stated to have, directly to this one.
+    watermarks: HashMap<IpAddr, Watermark>,
     /// Time at which a datagram of any entry last arrived.
     last_contact: Option<Instant>,
 }
@@ -197,6 +202,34 @@
         self.last_contact = Some(now);
     }
 
+    /// Records the versions of the data that an entry states to have.
+    pub(crate) fn record_watermark(&mut self, address: IpAddr, watermark: Watermark) {
+        self.watermarks.insert(address, watermark);
+    }
+
+    /// Returns responsive entries of a zone whose data fulfils a condition, at most
+    /// [`MAX_PROVIDERS`].
+    pub(crate) fn having(
+        &self,
+        zone: &Zone,
+        condition: impl Fn(Watermark) -> bool,
+        now: Instant,
+    ) -> Vec<IpAddr> {
+        let peers = self.peers.iter().filter(|(address, peer)| {
+            peer.zone == *zone
+                && peer.is_responsive(now)
+                && self
+                    .watermarks
+                    .get(address)
+                    .copied()
+                    .is_some_and(&condition)
+        });
+        peers
+            .map(|(address, _)| *address)
+            .take(MAX_PROVIDERS)
+            .collect()
+    }
+
     /// Returns the time since a datagram of any entry arrived.
     #[must_use]
     pub fn contact_age(&self, now: Instant) -> Duration {
@@ -229,6 +262,9 @@
         let recent = |at: Instant| now.saturating_duration_since(at) < RETENTION_PERIOD;
         self.peers.retain(|_, peer| recent(peer.last_heard));
         self.candidates.retain(|_, added| recent(*added));
+        let peers = &self.peers;
+        self.watermarks
+            .retain(|address, _| peers.contains_key(address));
     }
 
     /// Returns the entries that count as running.
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use carobdrift_units::Zone;
+use carobdrift_units::{BitRate, Version, Zone};
 use futures_util::FutureExt;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
@@ -21,7 +21,8 @@
 };
 use crate::digest::Tracker;
 use crate::membership::{Membership, Peer};
-use crate::snapshot::{Baseline, Server, Snapshot, Source};
+use crate::server::{Server, Source, Subject};
+use crate::snapshot::{Targets, Update};
 
 /// Interval of heartbeats and digests within a zone.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -71,6 +72,19 @@
     pub zone: Zone,
     /// Start of this process in Unix milliseconds.
     pub started_ms: u64,
+    /// Bandwidth of the machine's link.
+    pub link: BitRate,
+}
+
+/// Data of this entry as the exchange needs it.
+pub struct Data {
+    /// Returns this entry's heartbeat for a sequence number.
+    pub heartbeat: Box<dyn Fn(u32) -> Heartbeat + Send + Sync>,
+    /// Returns what is newer than a version of the desired state.
+    pub state: Box<dyn Fn(Version) -> Option<Update> + Send + Sync>,
+    /// Returns the targets if they are newer than a store revision; `None` stands for
+    /// a requester without any.
+    pub targets: Box<dyn Fn(Option<u64>) -> Option<Targets> + Send + Sync>,
 }
 
 /// Event received from another entry.
@@ -101,20 +115,13 @@
 }
 
 impl Peers {
-    /// Starts to send heartbeats and to serve snapshots. `heartbeat` returns
-    /// this entry's heartbeat for a sequence number, `watermark` the versions of
-    /// the data that this entry has, and `snapshot` the data that is newer than
-    /// a baseline.
+    /// Starts to exchange messages with the other entries and to serve this entry's
+    /// data to them.
     ///
     /// # Errors
     ///
     /// Fails when the address can't be bound.
-    pub async fn bind(
-        settings: Settings,
-        heartbeat: Box<dyn Fn(u32) -> Heartbeat + Send + Sync>,
-        watermark: Box<dyn Fn() -> Watermark + Send + Sync>,
-        snapshot: Box<dyn Fn(Baseline) -> Snapshot + Send + Sync>,
-    ) -> io::Result<(Self, mpsc::Receiver<Event>)> {
+    pub async fn bind(settings: Settings, data: Data) -> io::Result<(Self, mpsc::Receiver<Event>)> {
         let socket = UdpSocket::bind(settings.address).await?;
         let listener = TcpListener::bind(settings.address).await?;
         let peers = Self {
@@ -125,18 +132,22 @@
                 sequence: AtomicU32::new(0),
                 tracker: Mutex::default(),
                 requested: Mutex::new(None),
-                heartbeat,
+                heartbeat: data.heartbeat,
             }),
         };
         let (sender, events) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         tokio::spawn(peers.clone().receive(sender));
         tokio::spawn(peers.clone().run_heartbeats());
+        let for_providers = peers.clone();
+        let source = Source {
+            state: data.state,
+            targets: data.targets,
+            providers: Box::new(move |subject| for_providers.providers(subject)),
+        };
+        let link = peers.shared.settings.link;
         tokio::spawn(carobdrift_http1::listen(
             listener,
-            Arc::new(Server::new(Source {
-                watermark,
-                snapshot,
-            })),
+            Arc::new(Server::new(source, link)),
             CancellationToken::new(),
             TaskTracker::new(),
         ));
@@ -205,6 +216,18 @@
         }
     }
 
+    /// Returns entries of this zone that are known to have data as new as this
+    /// entry's.
+    fn providers(&self, subject: Subject) -> Vec<IpAddr> {
+        let own = self.heartbeat().watermark;
+        let zone = &self.shared.settings.zone;
+        let has_data = |watermark: Watermark| match subject {
+            Subject::State => watermark.state >= own.state,
+            Subject::Targets => watermark.targets >= own.targets,
+        };
+        self.membership().having(zone, has_data, Instant::now())
+    }
+
     fn own_ip(&self) -> IpAddr {
         self.shared.settings.address.ip()
     }
@@ -450,6 +473,11 @@
     async fn handle(&self, from: IpAddr, datagram: Datagram) -> Option<Event> {
         let now = Instant::now();
         self.membership().record_contact(now);
+        if let Datagram::Heartbeat(Heartbeat { watermark, .. })
+        | Datagram::Digest(Digest { watermark, .. }) = &datagram
+        {
+            self.membership().record_watermark(from, *watermark);
+        }
         match datagram {
             Datagram::Heartbeat(heartbeat) => {
                 let changed = self
--- a/crates/peers/tests/all/fixture.rs
+++ b/crates/peers/tests/all/fixture.rs
@@ -1,14 +1,16 @@
 //! Entries without a store, which exchange membership and snapshots only.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use carobdrift_peers::{
-    Baseline, Heartbeat, Peers, Phase, Settings, Snapshot, StoreHealth, Targets, Watermark,
+    Data, Heartbeat, Peers, Phase, Row, Settings, StoreHealth, Targets, Update, Watermark,
 };
-use carobdrift_units::{Version, Zone};
+use carobdrift_routing::{Limits, State as DesiredState};
+use carobdrift_units::{BitRate, Version, Zone};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -19,6 +21,9 @@
 /// the entries of other tests.
 const ISOLATED_PORT: u16 = 17_301;
 
+/// Bandwidth that the entries state for their links; allows two transfers at a time.
+const LINK: BitRate = BitRate(10_000_000);
+
 /// Last octet of the address of the next entry that a test starts.
 static NEXT_ADDRESS: AtomicU8 = AtomicU8::new(2);
 
@@ -28,6 +33,10 @@
     pub(crate) rate: AtomicU32,
     /// Store revision of the entry's targets.
     pub(crate) revision: AtomicU64,
+    /// Number of targets, none of which is registered any longer.
+    pub(crate) targets: AtomicU32,
+    /// Version of the entry's desired state, which has no routes.
+    pub(crate) version: AtomicU64,
     /// Number of snapshots that were taken of this state.
     pub(crate) snapshots: AtomicU32,
 }
@@ -55,12 +64,12 @@
             address: SocketAddr::new(ip, port),
             zone: zone.clone(),
             started_ms,
+            link: LINK,
         };
-        let (heartbeat_state, watermark_state, snapshot_state) =
+        let (heartbeat_state, version_state, targets_state) =
             (Arc::clone(&state), Arc::clone(&state), Arc::clone(&state));
-        let bind = Peers::bind(
-            settings,
-            Box::new(move |sequence| Heartbeat {
+        let data = Data {
+            heartbeat: Box::new(move |sequence| Heartbeat {
                 started_ms,
                 sequence,
                 zone: zone.clone(),
@@ -70,9 +79,10 @@
                 store: StoreHealth::Healthy,
                 watermark: watermark(&heartbeat_state),
             }),
-            Box::new(move || watermark(&watermark_state)),
-            Box::new(move |baseline| snapshot(&snapshot_state, baseline)),
-        );
+            state: Box::new(move |since| update(&version_state, since)),
+            targets: Box::new(move |since| targets(&targets_state, since)),
+        };
+        let bind = Peers::bind(settings, data);
         // Binds on another thread, because this one is inside the runtime of the
         // test and can't block on the runtime of the entry.
         let (peers, mut events) = std::thread::scope(|scope| {
@@ -200,21 +210,37 @@
 
 fn watermark(state: &State) -> Watermark {
     Watermark {
-        state: Version::NONE,
+        state: Version(state.version.load(Ordering::SeqCst)),
         targets: state.revision.load(Ordering::SeqCst),
         store_age_ms: 0,
     }
 }
 
-fn snapshot(state: &State, baseline: Baseline) -> Snapshot {
-    state.snapshots.fetch_add(1, Ordering::SeqCst);
+fn update(state: &State, since: Version) -> Option<Update> {
+    let version = Version(state.version.load(Ordering::SeqCst));
+    (version > since).then(|| {
+        Update::Whole(DesiredState {
+            version,
+            routes: Vec::new(),
+            services: BTreeMap::new(),
+            limits: Limits::default(),
+        })
+    })
+}
+
+fn targets(state: &State, since: Option<u64>) -> Option<Targets> {
     let revision = state.revision.load(Ordering::SeqCst);
-    let targets = Targets {
-        revision,
-        rows: Vec::new(),
-    };
-    Snapshot {
-        state: None,
-        targets: (baseline.targets < Some(revision)).then_some(targets),
-    }
+    (since < Some(revision)).then(|| {
+        state.snapshots.fetch_add(1, Ordering::SeqCst);
+        let count = state.targets.load(Ordering::SeqCst);
+        let rows = (0..count).map(|number| Row {
+            revision: u64::from(number),
+            target: format!("i-{number:016}").parse().unwrap(),
+            endpoint: None,
+        });
+        Targets {
+            revision,
+            rows: rows.collect(),
+        }
+    })
 }
--- a/crates/peers/tests/all/fuzz.rs
+++ b/crates/peers/tests/all/fuzz.rs
@@ -54,8 +54,8 @@
         }
     }
     let requests = [
-        b"GET /1/2 HTTP/1.1\r\n\r\n".to_vec(),
-        b"GET /0/ HTTP/1.1\r\n\r\n".to_vec(),
+        b"GET /state/1 HTTP/1.1\r\n\r\n".to_vec(),
+        b"GET /targets/ HTTP/1.1\r\n\r\n".to_vec(),
     ];
     for input in fuzz::inputs(SEED, &requests, 200) {
         let mut stream = TcpStream::connect(hub).await.unwrap();
--- a/crates/peers/tests/all/main.rs
+++ b/crates/peers/tests/all/main.rs
@@ -1,6 +1,6 @@
 //! Tests of the exchange between entries over loopback.
 
+mod fetch;
 mod fixture;
 mod fuzz;
-mod snapshot;
 mod zone;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! [`State`] is one version of the desired state as an operator wrote it.
 //! [`Table`] looks up the route of a request, and [`Splits`] chooses among the
-//! services of a route in proportion to their weights.
+//! services of a route in proportion to their weights. A [`History`] holds the
+//! [`Difference`]s between recent versions.
 
+mod difference;
 mod split;
 mod state;
 mod table;
 
+pub use difference::{Difference, History, Mismatch};
 pub use split::Splits;
 pub use state::{Backend, Fault, Kind, Limits, Route, Service, State};
 pub use table::{Table, host_name};
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -1,6 +1,6 @@
 //! Traffic split among the services of a route.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use carobdrift_units::Service;
 
@@ -44,10 +44,9 @@
         split.next().map(|index| &route.backends[index].service)
     }
 
-    /// Discards the splits of routes that are not in `routes`.
-    pub fn retain(&mut self, routes: &[Route]) {
-        self.routes
-            .retain(|name, _| routes.iter().any(|route| route.name == *name));
+    /// Discards the splits of routes whose name is not in `names`.
+    pub fn retain(&mut self, names: &HashSet<&str>) {
+        self.routes.retain(|name, _| names.contains(name.as_str()));
     }
 }
 
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -1,6 +1,7 @@
 //! Desired state of an installation.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use carobdrift_units::{ByteSize, Version};
@@ -8,12 +9,12 @@
 use thiserror::Error;
 
 /// Desired state of an installation, as an operator writes it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct State {
     /// Version; a larger one is newer.
     pub version: Version,
-    /// Routes, in no particular order.
-    pub routes: Vec<Route>,
+    /// Routes, in no particular order. Versions share the routes that are the same.
+    pub routes: Vec<Arc<Route>>,
     /// Services by name.
     pub services: BTreeMap<carobdrift_units::Service, Service>,
     /// Limits on callers.
@@ -21,7 +22,7 @@
 }
 
 /// Route: a set of requests with common settings.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Route {
     /// Name, unique in the state.
     pub name: String,
@@ -44,7 +45,7 @@
 }
 
 /// Service that serves a share of a route's requests.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Backend {
     /// Name of the service.
     pub service: carobdrift_units::Service,
@@ -53,7 +54,7 @@
 }
 
 /// Kind of a route's requests: whether one may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// A request may run more than once with the same effect.
     Idempotent,
@@ -62,7 +63,7 @@
 }
 
 /// Settings of a service's targets.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Service {
     /// Path of the health endpoint.
     pub health_path: String,
@@ -71,7 +72,7 @@
 }
 
 /// Limits on the size and duration of callers' requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Limits {
     /// Largest size of a request head.
     pub max_header: ByteSize,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -20,7 +20,7 @@
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in &state.routes {
             let host = route.host.to_ascii_lowercase();
-            hosts.entry(host).or_default().push(Arc::new(route.clone()));
+            hosts.entry(host).or_default().push(Arc::clone(route));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -1,6 +1,9 @@
 //! Tests of routing by the desired state.
 
+mod difference;
+
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use carobdrift_routing::{
@@ -35,7 +38,7 @@
     };
     State {
         version: Version(7),
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: BTreeMap::from([
             ("a".parse().unwrap(), service.clone()),
             ("b".parse().unwrap(), service),
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod fleet;
 pub mod fuzz;
+pub mod link;
 pub mod load;
 pub mod process;
 pub mod relay;
--- a/platform/testing/src/limited/link.rs
+++ b/crates/test-support/src/link.rs
@@ -31,7 +31,7 @@
 
 /// Link of a machine to the network.
 #[derive(Debug)]
-pub(crate) struct Link {
+pub struct Link {
     out: Lane,
     inward: Lane,
 }
@@ -43,16 +43,21 @@
     free_at: Mutex<Instant>,
 }
 
-/// End of a machine: its address, the port of its exchange with others, its link.
+/// Machine with a link.
 #[derive(Debug, Clone)]
-pub(crate) struct Machine {
-    pub(crate) ip: IpAddr,
-    pub(crate) port: u16,
-    pub(crate) link: Arc<Link>,
+pub struct Machine {
+    /// Address of the machine.
+    pub ip: IpAddr,
+    /// Port of its exchange with the other machines.
+    pub port: u16,
+    /// Link of the machine.
+    pub link: Arc<Link>,
 }
 
 impl Link {
-    pub(crate) fn new(mbit_per_second: f64) -> Self {
+    /// Creates a link with this bandwidth in each direction.
+    #[must_use]
+    pub fn new(mbit_per_second: f64) -> Self {
         let lane = || Lane {
             bytes_per_second: mbit_per_second * 1e6 / 8.0,
             free_at: Mutex::new(Instant::now()),
@@ -84,8 +89,13 @@
     }
 }
 
-/// Relays everything that the machines send to each other, until it is dropped.
-pub(crate) async fn connect(machines: &[Machine]) -> io::Result<JoinSet<()>> {
+/// Relays everything that the machines send to each other, until the returned set is
+/// dropped.
+///
+/// # Errors
+///
+/// Fails when an address can't be bound.
+pub async fn connect(machines: &[Machine]) -> io::Result<JoinSet<()>> {
     let mut relays = JoinSet::new();
     let index = |to: usize, from: usize| to * machines.len() + from;
     let mut sockets = Vec::with_capacity(machines.len() * machines.len());
@@ -128,7 +138,11 @@
 
 /// Relays the connections of a machine to a server with a fast link of its own.
 /// Returns the address to connect to.
-pub(crate) async fn reach(
+///
+/// # Errors
+///
+/// Fails when no port can be bound.
+pub async fn reach(
     server: SocketAddr,
     link: &Arc<Link>,
     relays: &mut JoinSet<()>,
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -73,6 +73,10 @@
     /// A size in bytes.
     ByteSize
 );
+counter!(
+    /// A bandwidth in bits per second.
+    BitRate
+);
 
 impl Version {
     /// Version of a service that has no document.
