Peers: choose hubs and readers by capacity, and replace lost ones sooner

Callers saw added routes refused and drained targets used for seconds after machines were lost. Hubs and readers of the store were the entries with the lowest addresses that had been heard within 2 s. So they were small machines as soon as those before them were away, and a zone without its hubs learned nothing for 2 of the 2.5 s that a change has.

Hubs and readers are now the entries of the largest capacity, and within a zone only those heard within 0.9 s, the limit that address answers have. A new hub sends a digest to the other zones at once, and these answer an entry of another zone that lacks data.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_peers::{Delta, Event, Peers, Row, Update, Watermark, fetch_state, fetch_targets};
+use carobdrift_peers::{
+    Delta, Event, Identity, Peers, Row, Update, Watermark, fetch_state, fetch_targets,
+};
 use carobdrift_platform::Cause;
 use carobdrift_routing::{Difference, Mismatch, State};
 use carobdrift_units::Version;
@@ -462,8 +464,12 @@
 }
 
 fn position(shared: &Shared, peers: &Peers, now: Instant) -> Position {
-    let own = shared.settings.peer.ip();
-    Position::of(own, &shared.settings.zone, &peers.membership(), now)
+    let own = Identity {
+        address: shared.settings.peer.ip(),
+        zone: shared.settings.zone.clone(),
+        capacity: shared.settings.capacity,
+    };
+    Position::of(&own, &peers.membership(), now)
 }
 
 /// Records the age of the newest store response that any entry knows of.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -416,6 +416,7 @@
         address,
         zone: shared.settings.zone.clone(),
         started_ms: shared.started_ms,
+        capacity: shared.settings.capacity,
         link: shared.settings.link,
     };
     let for_heartbeat = Arc::clone(shared);
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -1,11 +1,9 @@
 //! Selection of the entries that read the store.
 
-use std::collections::BTreeMap;
-use std::net::IpAddr;
+use std::cmp::Reverse;
 use std::time::Duration;
 
-use carobdrift_peers::{Membership, Phase, StoreHealth};
-use carobdrift_units::Zone;
+use carobdrift_peers::{Identity, Membership, StoreHealth};
 use tokio::time::Instant;
 
 /// Number of entries that read the store. Two in different zones, so that the
@@ -41,35 +39,27 @@
 }
 
 impl Position {
-    /// Computes the position from the membership. Entries are ranked by their
-    /// index in their zone first, so that the first ones are in different zones.
-    pub(crate) fn of(own: IpAddr, zone: &Zone, membership: &Membership, now: Instant) -> Self {
-        let mut zones: BTreeMap<&Zone, Vec<(IpAddr, StoreHealth)>> = BTreeMap::new();
-        zones
-            .entry(zone)
-            .or_default()
-            .push((own, StoreHealth::Healthy));
-        for (address, peer) in membership.alive(now) {
-            if peer.phase != Phase::Leaving {
-                zones
-                    .entry(&peer.zone)
-                    .or_default()
-                    .push((address, peer.store));
-            }
-        }
-        for entries in zones.values_mut() {
-            entries.sort_unstable_by_key(|(address, _)| *address);
-        }
-        let own_index = zones[zone].partition_point(|(address, _)| *address < own);
+    /// Computes the position from the membership. Entries of larger capacity precede
+    /// others. Those of equal capacity are ranked by their index in their zone, so that
+    /// the first ones are in different zones.
+    pub(crate) fn of(own: &Identity, membership: &Membership, now: Instant) -> Self {
+        let zones = membership.ranked(own, now);
+        let ordered = zones.iter().flat_map(|(zone, candidates)| {
+            let candidates = candidates.iter().enumerate();
+            candidates.map(move |(index, candidate)| {
+                ((Reverse(candidate.capacity), index, zone), candidate)
+            })
+        });
+        let mut ordered: Vec<_> = ordered.collect();
+        ordered.sort_unstable_by_key(|(order, _)| *order);
+        let preceding = ordered
+            .iter()
+            .map(|(_, candidate)| candidate)
+            .take_while(|candidate| candidate.address != own.address);
         let (mut rank, mut failing) = (0, 0);
-        for (other, entries) in &zones {
-            // This entry is preceded by all entries of a lower index, and by
-            // those of the same index in zones whose names sort first.
-            let count = own_index + usize::from(*other < zone);
-            for (_, store) in entries.iter().take(count) {
-                rank += 1;
-                failing += usize::from(*store == StoreHealth::Failing);
-            }
+        for candidate in preceding {
+            rank += 1;
+            failing += usize::from(candidate.store == StoreHealth::Failing);
         }
         Self {
             rank,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,7 +1,7 @@
 //! Membership and change propagation among the entries of an installation.
 //!
-//! In each availability zone the entries with the lowest addresses are its
-//! *hubs*. Every entry sends heartbeats to the hubs of its zone. A hub sends
+//! In each availability zone the two entries with the largest capacity, and among equal
+//! ones with the lowest addresses, are its *hubs*. Every entry sends heartbeats to the hubs of its zone. A hub sends
 //! digests of the membership and changes of targets to all entries of its zone
 //! and to the hubs of the other zones, so the traffic between zones grows with
 //! the number of zones, not of entries. There is no coordinator: each entry
@@ -21,6 +21,6 @@
 
 pub use datagram::{Delta, Heartbeat, Phase, Row, StoreHealth, Watermark};
 pub use fetch::{FetchError, fetch_state, fetch_targets};
-pub use membership::{Membership, Peer};
+pub use membership::{Candidate, Identity, Membership, Peer};
 pub use peers::{Data, Event, Peers, Settings};
 pub use snapshot::{Answer, Targets, Update};
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -1,5 +1,6 @@
 //! Membership of the installation as one entry knows it.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
 use std::time::Duration;
@@ -47,6 +48,54 @@
     pub last_heard: Instant,
 }
 
+/// This entry as the others know it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// Address of the entry.
+    pub address: IpAddr,
+    /// Availability zone of the entry.
+    pub zone: Zone,
+    /// Processor capacity of the entry, in thousandths of a core.
+    pub capacity: u32,
+}
+
+/// Entry that may act for others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// Address of the entry.
+    pub address: IpAddr,
+    /// Processor capacity of the entry, in thousandths of a core.
+    pub capacity: u32,
+    /// Health of the entry's connection to the platform's store.
+    pub store: StoreHealth,
+}
+
+impl Candidate {
+    fn order(&self) -> (Reverse<u32>, IpAddr) {
+        (Reverse(self.capacity), self.address)
+    }
+}
+
+impl From<&Identity> for Candidate {
+    fn from(own: &Identity) -> Self {
+        Self {
+            address: own.address,
+            capacity: own.capacity,
+            store: StoreHealth::Healthy,
+        }
+    }
+}
+
+impl From<(IpAddr, &Peer)> for Candidate {
+    fn from((address, peer): (IpAddr, &Peer)) -> Self {
+        Self {
+            address,
+            capacity: peer.capacity,
+            store: peer.store,
+        }
+    }
+}
+
 /// Other entries as this one knows them.
 #[derive(Debug, Default)]
 pub struct Membership {
@@ -273,28 +322,46 @@
         peers.filter(move |(_, peer)| peer.is_alive(now))
     }
 
-    /// Returns the hubs of each zone, given this entry's own address and zone.
-    /// The hubs are the entries with the lowest addresses; entries that are
-    /// leaving are skipped.
+    /// Returns the entries of each zone that may act for others, as hubs or as readers
+    /// of the store, this one included. Those with the largest capacity come first,
+    /// because they have the bandwidth and the processor for it, and those of equal
+    /// capacity in the order of their addresses.
     #[must_use]
-    pub fn hubs(&self, own: IpAddr, zone: &Zone, now: Instant) -> BTreeMap<Zone, Vec<IpAddr>> {
-        let mut hubs: BTreeMap<Zone, Vec<IpAddr>> = BTreeMap::new();
-        hubs.entry(zone.clone()).or_default().push(own);
+    pub fn ranked(&self, own: &Identity, now: Instant) -> BTreeMap<Zone, Vec<Candidate>> {
+        let mut zones: BTreeMap<Zone, Vec<Candidate>> = BTreeMap::new();
+        zones
+            .entry(own.zone.clone())
+            .or_default()
+            .push(Candidate::from(own));
         for (address, peer) in self.alive(now) {
-            if peer.phase == Phase::Leaving {
-                continue;
-            }
-            if let Some(lowest) = hubs.get_mut(&peer.zone) {
-                // Keeps only the lowest addresses, in order.
-                let position = lowest.partition_point(|other| *other < address);
-                if position < HUBS_PER_ZONE {
-                    lowest.insert(position, address);
-                    lowest.truncate(HUBS_PER_ZONE);
-                }
-            } else {
-                hubs.insert(peer.zone.clone(), vec![address]);
+            // News of other zones arrive once a second.
+            let is_present = peer.zone != own.zone || peer.is_responsive(now);
+            if peer.phase != Phase::Leaving && is_present {
+                zones
+                    .entry(peer.zone.clone())
+                    .or_default()
+                    .push(Candidate::from((address, peer)));
             }
         }
-        hubs
+        for candidates in zones.values_mut() {
+            candidates.sort_unstable_by_key(Candidate::order);
+        }
+        zones
+    }
+
+    /// Returns the hubs of each zone.
+    #[must_use]
+    pub fn hubs(&self, own: &Identity, now: Instant) -> BTreeMap<Zone, Vec<IpAddr>> {
+        let zones = self.ranked(own, now).into_iter();
+        let hubs = zones.map(|(zone, candidates)| {
+            let first = candidates.into_iter().take(HUBS_PER_ZONE);
+            (zone, first.map(|candidate| candidate.address).collect())
+        });
+        hubs.collect()
+    }
+
+    /// Returns the availability zone of another entry, if it is known.
+    pub(crate) fn zone_of(&self, address: IpAddr) -> Option<&Zone> {
+        self.peers.get(&address).map(|peer| &peer.zone)
     }
 }
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -1,6 +1,7 @@
 //! Datagram exchange with the other entries.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::panic::AssertUnwindSafe;
@@ -20,7 +21,7 @@
     Datagram, Delta, Digest, Heartbeat, MAX_DATAGRAM_BYTES, Member, Row, Watermark,
 };
 use crate::digest::Tracker;
-use crate::membership::{Membership, Peer};
+use crate::membership::{Identity, Membership, Peer};
 use crate::server::{Server, Source, Subject};
 use crate::snapshot::{Targets, Update};
 
@@ -38,10 +39,15 @@
 /// Shortest interval between two requests for all entries of the zone.
 const MEMBERS_REQUEST_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Heartbeat interval of an entry that has received no datagram for eight usual
-/// intervals, so that an entry that starts joins quickly.
+/// Heartbeat interval of an entry that has received no datagram for
+/// [`SILENT_INTERVALS`], so that an entry that starts joins quickly and a zone that
+/// lost its hubs soon has others.
 const JOIN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Number of heartbeat intervals without a datagram after which an entry sends its
+/// heartbeats more often.
+const SILENT_INTERVALS: u32 = 3;
+
 /// Largest number of entries of each other zone that a hub lists to its own zone.
 /// Callers are directed to entries of other zones only if the zone has too few of
 /// its own.
@@ -72,6 +78,8 @@
     pub zone: Zone,
     /// Start of this process in Unix milliseconds.
     pub started_ms: u64,
+    /// Processor capacity of this entry, in thousandths of a core.
+    pub capacity: u32,
     /// Bandwidth of the machine's link.
     pub link: BitRate,
 }
@@ -105,6 +113,7 @@
 struct Shared {
     socket: UdpSocket,
     settings: Settings,
+    own: Identity,
     membership: Mutex<Membership>,
     sequence: AtomicU32,
     /// Tracker of the entries that this entry, as a hub, listed in digests.
@@ -127,6 +136,11 @@
         let peers = Self {
             shared: Arc::new(Shared {
                 socket,
+                own: Identity {
+                    address: settings.address.ip(),
+                    zone: settings.zone.clone(),
+                    capacity: settings.capacity,
+                },
                 settings,
                 membership: Mutex::default(),
                 sequence: AtomicU32::new(0),
@@ -234,8 +248,7 @@
 
     /// Returns the hubs of each zone.
     fn hubs(&self) -> BTreeMap<Zone, Vec<IpAddr>> {
-        let zone = &self.shared.settings.zone;
-        self.membership().hubs(self.own_ip(), zone, Instant::now())
+        self.membership().hubs(&self.shared.own, Instant::now())
     }
 
     /// Returns the hubs of all zones without this entry.
@@ -271,20 +284,24 @@
 
     async fn run_heartbeats(self) {
         let mut round = 0_u32;
+        let mut was_hub = false;
         loop {
-            let is_isolated =
-                self.membership().contact_age(Instant::now()) > HEARTBEAT_INTERVAL * 8;
+            let contact_age = self.membership().contact_age(Instant::now());
+            let is_silent = contact_age > HEARTBEAT_INTERVAL * SILENT_INTERVALS;
             self.send_heartbeat().await;
-            if self.is_hub() {
+            let is_hub = self.is_hub();
+            // The hubs of other zones answer a new hub that lacks changes.
+            let is_new_hub = is_hub && !std::mem::replace(&mut was_hub, is_hub);
+            if is_hub {
                 if round.is_multiple_of(REMOTE_MEMBERS_INTERVALS) {
                     self.send_remote_members().await;
                 }
-                self.send_digest(round.is_multiple_of(REMOTE_DIGEST_INTERVALS))
+                self.send_digest(is_new_hub || round.is_multiple_of(REMOTE_DIGEST_INTERVALS))
                     .await;
             }
             round = round.wrapping_add(1);
             self.membership().remove_expired(Instant::now());
-            tokio::time::sleep(if is_isolated {
+            tokio::time::sleep(if is_silent {
                 JOIN_INTERVAL
             } else {
                 HEARTBEAT_INTERVAL
@@ -348,18 +365,21 @@
     async fn send_remote_members(&self) {
         let now = Instant::now();
         let zone = &self.shared.settings.zone;
-        let mut remote = Vec::new();
-        {
+        let mut remote: Vec<Member> = {
             let membership = self.membership();
-            let mut counts = std::collections::HashMap::new();
-            for (address, peer) in membership.alive(now).filter(|(_, peer)| peer.zone != *zone) {
-                let count = counts.entry(&peer.zone).or_insert(0);
-                *count += 1;
-                if *count <= MAX_REMOTE_MEMBERS {
-                    remote.push(member(address, peer, now));
-                }
-            }
-        }
+            let others = membership.alive(now).filter(|(_, peer)| peer.zone != *zone);
+            others
+                .map(|(address, peer)| member(address, peer, now))
+                .collect()
+        };
+        // The hubs of a zone are among its first entries in this order.
+        remote.sort_unstable_by_key(|member| (Reverse(member.capacity), member.address));
+        let mut counts: HashMap<Zone, usize> = HashMap::new();
+        remote.retain(|member| {
+            let count = counts.entry(member.zone.clone()).or_default();
+            *count += 1;
+            *count <= MAX_REMOTE_MEMBERS
+        });
         let watermark = self.heartbeat().watermark;
         self.send_members(&remote, watermark, &self.zone_spokes())
             .await;
@@ -496,10 +516,12 @@
                     let reply = Datagram::Heartbeat(self.heartbeat());
                     self.send(&reply, &[from]).await;
                 }
+                self.answer_outdated(from, heartbeat.watermark).await;
                 Some(Event::Watermark(from, heartbeat.watermark))
             }
             Datagram::Digest(digest) => {
                 let watermark = digest.watermark;
+                self.answer_outdated(from, watermark).await;
                 if !self.apply_digest(from, digest, now) && self.may_request_members(now) {
                     self.send(&Datagram::MembersRequest, &[from]).await;
                 }
@@ -518,6 +540,25 @@
         }
     }
 
+    /// Sends a heartbeat to an entry of another zone that lacks data of this one. It may
+    /// be a new hub, to which changes were not sent. Entries of this zone learn of the
+    /// data from the digests of their hubs.
+    async fn answer_outdated(&self, from: IpAddr, watermark: Watermark) {
+        let heartbeat = {
+            let membership = self.membership();
+            let zone = membership.zone_of(from);
+            if zone.is_none_or(|zone| *zone == self.shared.settings.zone) {
+                return;
+            }
+            drop(membership);
+            self.heartbeat()
+        };
+        let own = heartbeat.watermark;
+        if watermark.state < own.state || watermark.targets < own.targets {
+            self.send(&Datagram::Heartbeat(heartbeat), &[from]).await;
+        }
+    }
+
     /// Applies the entries of a digest. Returns whether the summary in the
     /// digest matches the entries that this entry knows.
     fn apply_digest(&self, from: IpAddr, digest: Digest, now: Instant) -> bool {
--- a/crates/peers/tests/all/fixture.rs
+++ b/crates/peers/tests/all/fixture.rs
@@ -21,6 +21,9 @@
 /// the entries of other tests.
 const ISOLATED_PORT: u16 = 17_301;
 
+/// Capacity of most entries, in thousandths of a core.
+const CAPACITY: u32 = 200;
+
 /// Bandwidth that the entries state for their links; allows two transfers at a time.
 const LINK: BitRate = BitRate(10_000_000);
 
@@ -52,18 +55,19 @@
 }
 
 impl Entry {
-    fn start(ip: IpAddr, port: u16, zone: &str, started_ms: u64, seed: IpAddr) -> Self {
+    fn start(ip: IpAddr, port: u16, capacity: u32, started_ms: u64, seed: IpAddr) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
             .build()
             .unwrap();
-        let zone: Zone = zone.parse().unwrap();
+        let zone: Zone = "hobart".parse().unwrap();
         let state = Arc::<State>::default();
         let settings = Settings {
             address: SocketAddr::new(ip, port),
             zone: zone.clone(),
             started_ms,
+            capacity,
             link: LINK,
         };
         let (heartbeat_state, version_state, targets_state) =
@@ -74,7 +78,7 @@
                 sequence,
                 zone: zone.clone(),
                 phase: Phase::Ready,
-                capacity: 200,
+                capacity,
                 rate: heartbeat_state.rate.load(Ordering::SeqCst),
                 store: StoreHealth::Healthy,
                 watermark: watermark(&heartbeat_state),
@@ -154,26 +158,34 @@
 
 /// Starts entries of one zone, each with the first one as its seed.
 pub(crate) fn zone(count: u8) -> Vec<Entry> {
-    zone_on(PORT, count)
+    zone_on(PORT, &vec![CAPACITY; count.into()])
+}
+
+/// Starts entries of one zone like [`zone`], with these capacities in thousandths of
+/// a core, in the order of their addresses.
+pub(crate) fn zone_of(capacities: &[u32]) -> Vec<Entry> {
+    zone_on(PORT, capacities)
 }
 
 /// Starts entries of one zone like [`zone`], which no entries of other tests can
 /// reach.
 pub(crate) fn isolated_zone(count: u8) -> Vec<Entry> {
-    zone_on(ISOLATED_PORT, count)
+    zone_on(ISOLATED_PORT, &vec![CAPACITY; count.into()])
 }
 
-fn zone_on(port: u16, count: u8) -> Vec<Entry> {
+fn zone_on(port: u16, capacities: &[u32]) -> Vec<Entry> {
+    let count = u8::try_from(capacities.len()).unwrap();
     let first = NEXT_ADDRESS.fetch_add(count, Ordering::SeqCst);
     let ips: Vec<IpAddr> = (first..first + count).map(address).collect();
     ips.iter()
-        .map(|ip| Entry::start(*ip, port, "hobart", 1, ips[0]))
+        .zip(capacities)
+        .map(|(ip, capacity)| Entry::start(*ip, port, *capacity, 1, ips[0]))
         .collect()
 }
 
 /// Starts an entry on the address of a stopped one, as another process.
 pub(crate) fn restart(ip: IpAddr, seed: IpAddr) -> Entry {
-    Entry::start(ip, PORT, "hobart", 2, seed)
+    Entry::start(ip, PORT, CAPACITY, 2, seed)
 }
 
 /// Returns an address that no entry uses.
--- a/crates/peers/tests/all/zone.rs
+++ b/crates/peers/tests/all/zone.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crate::fixture::{Entry, eventually, restart, zone};
+use crate::fixture::{Entry, eventually, restart, zone, zone_of};
 
 /// Entries of a zone that need more than one digest to be listed individually,
 /// as when all entries start together.
@@ -109,3 +109,37 @@
     })
     .await;
 }
+
+fn hubs(entries: &[Entry]) -> Vec<usize> {
+    let hubs = entries.iter().enumerate();
+    hubs.filter(|(_, entry)| entry.peers.is_hub())
+        .map(|(index, _)| index)
+        .collect()
+}
+
+/// Guards against hubs on the smallest machines of a zone, whose links are the
+/// narrowest.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_largest_entries_are_hubs() {
+    let entries = zone_of(&[100, 100, 500, 100, 500, 100]);
+
+    eventually("the large entries are the hubs", || {
+        hubs(&entries) == [2, 4]
+    })
+    .await;
+}
+
+/// Guards against a zone without hubs for most of the time in which a change must be
+/// in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_hubs_are_replaced_within_1300_ms() {
+    let mut entries = zone(6);
+    eventually("full membership", || are_fully_connected(&entries)).await;
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let lost: Vec<Entry> = entries.drain(..2).collect();
+    drop(lost);
+
+    tokio::time::sleep(Duration::from_millis(1300)).await;
+
+    assert_eq!(hubs(&entries), [0, 1]);
+}
