Gateway: trust a refusal on a reused connection only by its attempt id

Callers were told that a request had not run although its target ran it.

A response without the attempt's id now counts only in the first exchange of a connection, and a connection that delivered a foreign response is closed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -122,6 +122,8 @@
                     response.rest = Some(relay::rest(self, call, endpoint, upstream));
                     return Completion::Answered(response);
                 }
+                // The answer to this attempt may still follow a foreign one.
+                Ok(completion @ Completion::Broken(_)) => return completion,
                 Ok(completion) => {
                     self.upstreams.put(endpoint, upstream);
                     return completion;
@@ -179,13 +181,15 @@
         }
         let response = result?;
         let echoed_id = self.dialect.attempt_id(&response.headers);
-        let mismatched = echoed_id.is_some() && echoed_id != call.id.as_deref();
-        // A response to another attempt may come from an earlier use of the
-        // connection, and one with status 421 from another target.
-        if !mismatched && response.status != StatusCode::MISDIRECTED_REQUEST {
+        let is_echoed = echoed_id.is_some() && echoed_id == call.id.as_deref();
+        // A response without the id of this attempt can belong to an earlier exchange
+        // of the connection, however long ago.
+        let is_own = is_echoed || (echoed_id.is_none() && !upstream.reused);
+        // One with status 421 may come from another target.
+        if is_own && response.status != StatusCode::MISDIRECTED_REQUEST {
             self.record_statements(endpoint, &response);
         }
-        if !mismatched
+        if is_own
             && self
                 .dialect
                 .is_not_executed(response.status, &response.headers)
@@ -193,7 +197,7 @@
             call.undo_dispatch();
             return Ok(Completion::NotExecuted);
         }
-        if echoed_id.is_none() || mismatched {
+        if !is_echoed {
             return Ok(Completion::Broken("foreign-answer"));
         }
         if !self.dialect.is_signed(&response.headers) && response.status.is_success() {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -39,6 +39,11 @@
     /// Attempt id of the last request on the connection, by which a late copy of
     /// its response is recognized.
     pub(crate) last_attempt: Option<String>,
+    /// Whether the connection carried an exchange before the current one, a response to
+    /// which may arrive once more.
+    pub(crate) reused: bool,
+    /// Whether an exchange was started on the connection.
+    started: bool,
 }
 
 /// Idle connections by target. The key includes the start of the target's
@@ -62,6 +67,7 @@
         sent: &mut usize,
         dialect: &dyn Dialect,
     ) -> Result<Response, ExchangeError> {
+        self.reused = std::mem::replace(&mut self.started, true);
         let mut response = self.connection.start(method, request, window, sent).await?;
         let mut skipped = 0;
         while skipped < MAX_LATE_COPIES
@@ -111,6 +117,8 @@
         Ok(Upstream {
             connection,
             last_attempt: None,
+            reused: false,
+            started: false,
         })
     }
 
