Stop: take no request that the end of the entry would cut

Another operator reported requests that were passed on late in the grace time of a planned stop and cut at its end. It happens here: while a caller has pipelined its next request, a connection never noticed the stop and went on reading and passing on requests until the process ended. A request that no target had yet was cut at the end as well, and one that arrived in part when the entry stopped reading was closed without an answer.

After the stop a connection now reads the rest of the request that has arrived in part, and no other.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Processing of a request from routing to its response.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 use http::header::HOST;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Completion;
 use crate::call::Call;
@@ -53,7 +54,12 @@
         self.count_request();
         let received = request.received;
         let id = self.dialect.attempt_id(&request.headers).map(str::to_owned);
-        let call = match self.route(request, id.clone()) {
+        let routed = if self.stopped.is_cancelled() {
+            Err(Refusal::Leaving)
+        } else {
+            self.route(request, id.clone())
+        };
+        let call = match routed {
             Ok(call) => Arc::new(call),
             Err(refusal) => {
                 self.metrics
@@ -68,15 +74,12 @@
         };
         self.services.count_request(&call.service);
         let mut attempts = Attempts::new(Arc::clone(&call));
-        let run = self.run(&call, &mut attempts);
-        let logged = match tokio::time::timeout_at(call.deadline, run).await {
-            Ok(Ok(response)) => LoggedResponse {
+        let logged = match self.run_until_end(&call, &mut attempts).await {
+            Ok(response) => LoggedResponse {
                 response,
                 outcome: "answered",
             },
-            Ok(Err(refusal)) => refuse(&call, refusal),
-            Err(_) if call.is_dispatched() => refuse(&call, Refusal::TimedOut),
-            Err(_) => refuse(&call, Refusal::Busy),
+            Err(refusal) => refuse(&call, refusal),
         };
         self.metrics
             .record_request(call.service.as_str(), logged.outcome, received.elapsed());
@@ -114,6 +117,33 @@
         ))
     }
 
+    /// Runs the attempts of a request until the deadline of the request. If the entry
+    /// ends before, a request that no target has is refused.
+    async fn run_until_end(
+        self: &Arc<Self>,
+        call: &Arc<Call>,
+        attempts: &mut Attempts,
+    ) -> Result<Response, Refusal> {
+        let mut run = pin!(timeout_at(call.deadline, self.run(call, attempts)));
+        let result = tokio::select! {
+            biased;
+            result = &mut run => result,
+            () = self.ending.cancelled() => {
+                if !call.is_dispatched() {
+                    return Err(Refusal::Leaving);
+                }
+                run.await
+            }
+        };
+        result.unwrap_or_else(|_| {
+            Err(if call.is_dispatched() {
+                Refusal::TimedOut
+            } else {
+                Refusal::Busy
+            })
+        })
+    }
+
     async fn run(
         self: &Arc<Self>,
         call: &Arc<Call>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use carobdrift_placement::Endpoint;
 use carobdrift_routing::{State, Table};
 use carobdrift_units::{Target, Version, Zone};
+use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -43,6 +44,10 @@
     pub(crate) metrics: Metrics,
     table: ArcSwapOption<Table>,
     draining: AtomicBool,
+    /// Cancelled when requests that are read from then on are refused.
+    pub(crate) stopped: CancellationToken,
+    /// Cancelled when requests that no target has are refused.
+    pub(crate) ending: CancellationToken,
     requests: AtomicU64,
     /// Whether timers fire late because the processor is overloaded.
     overloaded: AtomicBool,
@@ -64,6 +69,8 @@
             metrics,
             table: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
+            stopped: CancellationToken::new(),
+            ending: CancellationToken::new(),
             requests: AtomicU64::new(0),
             overloaded: AtomicBool::new(false),
         })
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -18,6 +18,8 @@
 pub(crate) enum Refusal {
     /// The entry has no desired state yet. Not executed.
     Unready,
+    /// The entry is about to end. Not executed.
+    Leaving,
     /// No route matches the request. Not executed.
     NoRoute,
     /// No target accepts requests. Not executed.
@@ -40,6 +42,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Unready => "unready",
+            Self::Leaving => "leaving",
             Self::NoRoute => "no-route",
             Self::NoTarget => "no-target",
             Self::Busy => "busy",
@@ -53,6 +56,8 @@
     pub(crate) fn response(self) -> Response {
         let (status, retry_after) = match self {
             Self::Unready => (StatusCode::SERVICE_UNAVAILABLE, Some(UNREADY_RETRY_AFTER)),
+            // Other entries accept the request at once.
+            Self::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::ZERO)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
             Self::NoTarget | Self::Busy | Self::NotExecuted => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY_AFTER))
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -22,4 +22,4 @@
 pub use encode::encode_request;
 pub use message::{Request, Response, Rest};
 pub use reader::{Limits, ReadError, Reader};
-pub use server::{Service, listen, serve};
+pub use server::{STOP_DELAY, Service, listen, serve};
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -33,7 +33,7 @@
 
 /// Time after a stop for which connections and requests that are on their way are
 /// still accepted.
-const STOP_DELAY: Duration = Duration::from_millis(100);
+pub const STOP_DELAY: Duration = Duration::from_millis(100);
 
 /// Default limit for the head of a request, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 8 * 1024;
@@ -158,6 +158,8 @@
     let mut queue: VecDeque<Answer> = VecDeque::new();
     let mut output: Option<Output> = None;
     let mut last = false;
+    // Whether only a request that has arrived in part is still read.
+    let mut stopping = false;
     let mut idle_since = Instant::now();
     let mut stopped = pin!(stopped(stop));
     loop {
@@ -192,7 +194,7 @@
             },
             read = read_request(reader, last), if reading || last => match read {
                 Ok(Some(request)) => {
-                    last = !request.keep_alive;
+                    last = stopping || !request.keep_alive;
                     let (method, accepts_chunks) = (request.method.clone(), request.accepts_chunks);
                     let call = Arc::clone(service).call(request);
                     pending.push_back(pending_answer(call, method, accepts_chunks));
@@ -208,7 +210,10 @@
                     pending.push_back(pending_answer(call, Method::GET, true));
                 }
             },
-            () = &mut stopped, if !last && !mid_message => last = true,
+            () = &mut stopped, if !last && !stopping => {
+                stopping = true;
+                last = !reader.is_within_message();
+            }
             () = sleep_until(write_deadline), if write_deadline.is_some() => return false,
             () = sleep_until(Some(read_deadline)), if reading => {
                 // A message that began in the meantime extends the deadline.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -246,11 +246,11 @@
         let serving_time = (ADDRESS_TTL * TTL_OVERRUN_FACTOR).min(grace / 2);
         tokio::time::sleep_until(start + serving_time).await;
         let deadline = start + grace.saturating_sub(SHUTDOWN_MARGIN);
-        let drained = tokio::time::timeout_at(deadline, self.listener.drain()).await;
+        let drained = self.listener.drain(deadline).await;
         log::info!(
             target: "entry",
-            "event=stopped whole={} ms={}",
-            drained.is_ok(), start.elapsed().as_millis()
+            "event=stopped whole={drained} ms={}",
+            start.elapsed().as_millis()
         );
     }
 }
