Peers: tell entries that ask a spoke which entries are the hubs

If a seed is no hub, it answered nothing about the others, so that entries which knew only the seed took it and themselves for the hubs of the zone, and did not meet the others until they read the store.

--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -517,6 +517,9 @@
                     self.send(&reply, &[from]).await;
                 }
                 self.answer_outdated(from, heartbeat.watermark).await;
+                if !self.is_hub() {
+                    self.list_hubs(from, &heartbeat.zone).await;
+                }
                 Some(Event::Watermark(from, heartbeat.watermark))
             }
             Datagram::Digest(digest) => {
@@ -540,6 +543,25 @@
         }
     }
 
+    /// Lists the hubs of this zone and of the recipient's to an entry that does not know
+    /// them: it sent its heartbeat to this one, which is no hub.
+    async fn list_hubs(&self, recipient: IpAddr, zone: &Zone) {
+        let now = Instant::now();
+        let hubs = self.hubs().into_iter();
+        let hubs = hubs.filter(|(other, _)| other == zone || *other == self.shared.own.zone);
+        let hubs: Vec<IpAddr> = hubs.flat_map(|(_, hubs)| hubs).collect();
+        let members: Vec<Member> = {
+            let membership = self.membership();
+            let alive = membership.alive(now);
+            alive
+                .filter(|(address, _)| *address != recipient && hubs.contains(address))
+                .map(|(address, peer)| member(address, peer, now))
+                .collect()
+        };
+        let watermark = self.heartbeat().watermark;
+        self.send_members(&members, watermark, &[recipient]).await;
+    }
+
     /// Sends a heartbeat to an entry of another zone that lacks data of this one. It may
     /// be a new hub, to which changes were not sent. Entries of this zone learn of the
     /// data from the digests of their hubs.
