--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -345,7 +345,7 @@
         } else {
             shared.gateway.version()
         };
-        let answer = fetch_state(peers.snapshot_address(source), since).await;
+        let answer = fetch_state(peers.data_address(source), since).await;
         let Some(update) = sources.resolve(source, answer) else {
             continue;
         };
@@ -357,7 +357,9 @@
                     peers.announce().await;
                 }
             }
-            Err(mismatch) => {
+            // Another version was put in force meanwhile.
+            Err(Mismatch::Version { .. }) => sources.retry(source),
+            Err(mismatch @ Mismatch::Content(_)) => {
                 log::warn!(
                     target: "peers",
                     "event=difference-rejected peer={source} error=\"{mismatch}\""
@@ -405,7 +407,7 @@
             let replica = shared.replica();
             replica.is_complete().then(|| replica.revision())
         };
-        let answer = fetch_targets(peers.snapshot_address(source), since).await;
+        let answer = fetch_targets(peers.data_address(source), since).await;
         let Some(targets) = sources.resolve(source, answer) else {
             continue;
         };
--- a/crates/peers/src/fetch.rs
+++ b/crates/peers/src/fetch.rs
@@ -10,7 +10,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, timeout};
 
-use crate::snapshot::{Answer, Targets, Update};
+use crate::answer::{Answer, Targets, Update};
 
 /// Time limit for the connection to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,17 +10,17 @@
 //! [`Update`] and as [`Targets`]. An entry sends few large ones at a time and refers
 //! other requesters to entries that have the data already.
 
+mod answer;
 mod datagram;
 mod digest;
 mod fetch;
 mod membership;
 mod peers;
 mod server;
-mod snapshot;
 mod transfer;
 
+pub use answer::{Answer, Targets, Update};
 pub use datagram::{Delta, Heartbeat, Phase, Row, StoreHealth, Watermark};
 pub use fetch::{FetchError, fetch_state, fetch_targets};
 pub use membership::{Candidate, Identity, Membership, Peer};
 pub use peers::{Data, Event, Peers, Settings};
-pub use snapshot::{Answer, Targets, Update};
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -17,13 +17,13 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::answer::{Targets, Update};
 use crate::datagram::{
     Datagram, Delta, Digest, Heartbeat, MAX_DATAGRAM_BYTES, Member, Row, Watermark,
 };
 use crate::digest::Tracker;
 use crate::membership::{Identity, Membership, Peer};
 use crate::server::{Server, Source, Subject};
-use crate::snapshot::{Targets, Update};
 
 /// Interval of heartbeats and digests within a zone.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -71,7 +71,7 @@
 /// Settings of the exchange between entries.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// Address of this entry for datagrams and snapshots; all entries use the
+    /// Address of this entry for datagrams and fetches; all entries use the
     /// same port.
     pub address: SocketAddr,
     /// Availability zone of this entry.
@@ -186,9 +186,9 @@
         membership.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the address at which an entry serves snapshots.
+    /// Returns the address at which an entry serves its data to others.
     #[must_use]
-    pub fn snapshot_address(&self, entry: IpAddr) -> SocketAddr {
+    pub fn data_address(&self, entry: IpAddr) -> SocketAddr {
         SocketAddr::new(entry, self.shared.settings.address.port())
     }
 
@@ -449,7 +449,7 @@
             }
         };
         for address in addresses {
-            let address = self.snapshot_address(*address);
+            let address = self.data_address(*address);
             if let Err(error) = self.shared.socket.send_to(&bytes, address).await {
                 // Not retried: datagrams may be lost anyway, and a later datagram
                 // or a snapshot makes up for the loss.
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
-use crate::snapshot::{Targets, Update};
+use crate::answer::{Targets, Update};
 use crate::transfer::{Transfer, Transfers};
 
 /// Size up to which data is sent at once, whatever else the link carries.
