Authenticate requests by the API keys of workspaces

The desired state may list workspaces with API keys.

A request to a route that is not public now needs one key that exactly one workspace holds, and is refused with 401 otherwise. Targets get the name of the workspace instead of the key. The priority of a workspace goes before that of the route.

Service settings about cold targets and quotas of workspaces are decoded, and not used yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -38,6 +38,8 @@
     Broken(&'static str),
     /// The target no longer accepts requests, so nothing was sent.
     Withdrawn,
+    /// The API key of the request was revoked, so nothing was sent.
+    Unauthorized,
 }
 
 impl Completion {
@@ -49,6 +51,7 @@
             Self::NotSent => "not-sent",
             Self::Broken(reason) => reason,
             Self::Withdrawn => "withdrawn",
+            Self::Unauthorized => "unauthorized",
         }
     }
 }
@@ -68,7 +71,7 @@
             Completion::Answered(_) => Outcome::Success,
             Completion::NotExecuted => Outcome::Refused,
             Completion::NotSent | Completion::Broken(_) => Outcome::Failure,
-            Completion::Withdrawn => Outcome::Cancelled,
+            Completion::Withdrawn | Completion::Unauthorized => Outcome::Cancelled,
         };
         placement.end(outcome);
         self.metrics
@@ -115,6 +118,11 @@
                 self.upstreams.put(endpoint, upstream);
                 return Completion::Withdrawn;
             }
+            // The request may have waited since its key was checked.
+            if !self.is_authorized(call) {
+                self.upstreams.put(endpoint, upstream);
+                return Completion::Unauthorized;
+            }
             match self.exchange(call, placement, &mut upstream).await {
                 Ok(Completion::Answered(mut response))
                     if upstream.connection.is_within_response() =>
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,6 +11,8 @@
 use http::{HeaderMap, Method};
 use tokio::time::Instant;
 
+use crate::credential::Credential;
+
 /// Request with its route, service and deadline.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -22,6 +24,10 @@
     pub(crate) id: Option<String>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Service,
+    /// Workspace that sent the request, on routes that are not public.
+    pub(crate) credential: Option<Credential>,
+    /// Priority of the workspace, or else of the route.
+    pub(crate) priority: u32,
     /// Path of the health endpoint of the service.
     pub(crate) health_path: String,
     /// Version of the desired state by which the request was routed.
@@ -33,17 +39,34 @@
     dispatched: AtomicU32,
 }
 
+/// Where a request goes, by the desired state.
+#[derive(Debug)]
+pub(crate) struct Destination {
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Service,
+    pub(crate) credential: Option<Credential>,
+    pub(crate) health_path: String,
+    pub(crate) version: Version,
+    /// Time that the caller gave, or else the timeout of the route.
+    pub(crate) timeout: Duration,
+}
+
 impl Call {
-    pub(crate) fn new(
-        request: Request,
-        id: Option<String>,
-        route: Arc<Route>,
-        service: Service,
-        health_path: String,
-        version: Version,
-        timeout: Duration,
-    ) -> Self {
+    /// Creates a call that was routed by the desired state of a version.
+    pub(crate) fn new(request: Request, id: Option<String>, target: Destination) -> Self {
+        let Destination {
+            route,
+            service,
+            credential,
+            health_path,
+            version,
+            timeout,
+        } = target;
+        let workspace = credential.as_ref().map(|credential| &credential.workspace);
         Self {
+            priority: workspace
+                .and_then(|workspace| workspace.priority)
+                .unwrap_or(route.priority),
             deadline: request.received + timeout.min(route.timeout),
             method: request.method,
             target: request.target,
@@ -52,6 +75,7 @@
             id,
             route,
             service,
+            credential,
             health_path,
             version,
             received: request.received,
--- a/crates/gateway/src/credential.rs
+++ b/crates/gateway/src/credential.rs
@@ -59,6 +59,5 @@
     };
     let (scheme, key) = field.to_str().ok()?.split_once(' ')?;
     let key = key.trim();
-    (scheme.eq_ignore_ascii_case(SCHEME) && !key.is_empty())
-        .then(|| KeyDigest::of(key.as_bytes()))
+    (scheme.eq_ignore_ascii_case(SCHEME) && !key.is_empty()).then(|| KeyDigest::of(key.as_bytes()))
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -20,6 +20,10 @@
     /// only target that may execute the request.
     fn set_target_headers(&self, headers: &mut HeaderMap, remaining: Duration, target: &Target);
 
+    /// Sets the header field that names the workspace of a request to a target, and
+    /// removes what the caller sent in it.
+    fn set_workspace(&self, headers: &mut HeaderMap, workspace: Option<&str>);
+
     /// Whether a response proves that the target produced it.
     fn is_signed(&self, headers: &HeaderMap) -> bool;
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::Completion;
-use crate::call::Call;
+use crate::call::{Call, Destination};
+use crate::credential::Credential;
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
 
@@ -90,7 +91,7 @@
         response
     }
 
-    fn route(&self, request: Request, id: Option<String>) -> Result<Call, Refusal> {
+    fn route(&self, mut request: Request, id: Option<String>) -> Result<Call, Refusal> {
         let table = self.table().ok_or(Refusal::Unready)?;
         let host = request
             .headers
@@ -99,6 +100,9 @@
         let route = host
             .and_then(|host| table.find(host_name(host), request.path()))
             .ok_or(Refusal::NoRoute)?;
+        let credential = Credential::take(&mut request.headers, route, &table)?;
+        let workspace = credential.as_ref().map(|c| c.workspace.name.as_str());
+        self.dialect.set_workspace(&mut request.headers, workspace);
         let service = self
             .services
             .choose_service(route)
@@ -106,15 +110,15 @@
         let settings = table.state().services.get(&service);
         let health_path = settings.map_or("/", |service| service.health_path.as_str());
         let deadline = self.dialect.deadline(&request.headers);
-        Ok(Call::new(
-            request,
-            id,
-            Arc::clone(route),
+        let destination = Destination {
+            route: Arc::clone(route),
             service,
-            health_path.to_owned(),
-            table.state().version,
-            deadline.unwrap_or(route.timeout),
-        ))
+            credential,
+            health_path: health_path.to_owned(),
+            version: table.state().version,
+            timeout: deadline.unwrap_or(route.timeout),
+        };
+        Ok(Call::new(request, id, destination))
     }
 
     /// Runs the attempts of a request until the deadline of the request. If the entry
@@ -221,7 +225,7 @@
         log::info!(
             target: "request",
             "id={} outcome={outcome} status={} ms={} route={} service={} version={} targets={} \
-             sends={}",
+             sends={} workspace={}",
             call.id.as_deref().unwrap_or("-"),
             status.as_ref().map_or("-", StatusCode::as_str),
             call.received.elapsed().as_millis(),
@@ -229,7 +233,10 @@
             call.service,
             call.version,
             self.choices.join(","),
-            self.sends
+            self.sends,
+            call.credential
+                .as_ref()
+                .map_or("-", |credential| credential.workspace.name.as_str())
         );
     }
 
@@ -284,6 +291,10 @@
                 Refusal::NoTarget
             }
             Completion::NotExecuted => Refusal::NotExecuted,
+            Completion::Unauthorized => {
+                self.sends -= 1;
+                return self.finish(call, Refusal::Unauthorized).map(Some);
+            }
             Completion::Broken(_) => Refusal::Broken,
         };
         if !self.running.is_empty() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use carobdrift_units::{Target, Version, Zone};
 use tokio_util::sync::CancellationToken;
 
+use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::services::{Retries, Services};
@@ -177,6 +178,17 @@
         });
     }
 
+    /// Whether the API key of a request is still valid.
+    pub(crate) fn is_authorized(&self, call: &Call) -> bool {
+        let Some(credential) = &call.credential else {
+            return true;
+        };
+        let table = self.table.load();
+        table
+            .as_ref()
+            .is_some_and(|table| credential.is_valid(table))
+    }
+
     pub(crate) fn accepts(&self, endpoint: &Endpoint) -> bool {
         let accepts = self
             .services
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod clock;
+mod credential;
 mod dialect;
 mod exchange;
 mod gateway;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -95,7 +95,7 @@
     fn new(gateway: &Arc<Gateway>, call: &Call) -> Self {
         let rank = Rank {
             late: false,
-            priority: call.route.priority,
+            priority: call.priority,
             received: call.received,
             sequence: gateway.services.next_sequence(&call.service),
         };
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -22,6 +22,8 @@
     Leaving,
     /// No route matches the request. Not executed.
     NoRoute,
+    /// The request has no API key that a workspace holds. Not executed.
+    Unauthorized,
     /// No target accepts requests. Not executed.
     NoTarget,
     /// No target had a free slot in time. Not executed.
@@ -44,6 +46,7 @@
             Self::Unready => "unready",
             Self::Leaving => "leaving",
             Self::NoRoute => "no-route",
+            Self::Unauthorized => "unauthorized",
             Self::NoTarget => "no-target",
             Self::Busy => "busy",
             Self::Paused(_) => "paused",
@@ -59,6 +62,7 @@
             // Other entries accept the request at once.
             Self::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::ZERO)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
+            Self::Unauthorized => (StatusCode::UNAUTHORIZED, None),
             Self::NoTarget | Self::Busy | Self::NotExecuted => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY_AFTER))
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -390,10 +390,12 @@
             return None;
         }
         let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
-        Some(match history.since(version, state.routes.len()) {
-            Some(differences) => Update::Differences(differences),
-            None => Update::Whole(state.clone()),
-        })
+        Some(
+            match history.since(version, state.routes.len() + state.workspaces.len()) {
+                Some(differences) => Update::Differences(differences),
+                None => Update::Whole(state.clone()),
+            },
+        )
     }
 
     /// Returns the targets if this entry has all of them and they are newer than a
--- a/crates/peers/tests/all/fixture.rs
+++ b/crates/peers/tests/all/fixture.rs
@@ -236,6 +236,8 @@
             routes: Vec::new(),
             services: BTreeMap::new(),
             limits: Limits::default(),
+            requires_keys: false,
+            workspaces: BTreeMap::new(),
         })
     })
 }
--- a/crates/routing/src/difference.rs
+++ b/crates/routing/src/difference.rs
@@ -13,12 +13,13 @@
 use thiserror::Error;
 
 use crate::state::{Limits, Route, Service, State};
+use crate::workspace::Workspace;
 
 /// Largest number of differences that a history keeps.
 const MAX_DIFFERENCES: usize = 64;
 
-/// Largest number of routes in all differences that a history keeps.
-const MAX_HISTORY_ROUTES: usize = 8192;
+/// Largest number of routes and workspaces in all differences that a history keeps.
+const MAX_HISTORY_ITEMS: usize = 8192;
 
 /// Difference between two versions of the desired state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +38,12 @@
     services: Option<BTreeMap<carobdrift_units::Service, Service>>,
     /// Limits of the newer state, if they changed.
     limits: Option<Limits>,
+    /// Whether requests need an API key in the newer state.
+    requires_keys: bool,
+    /// Names of workspaces of the older state that are not in the newer one.
+    removed_workspaces: Vec<String>,
+    /// Workspaces of the newer state that are new or changed.
+    workspaces: Vec<Arc<Workspace>>,
     /// Fingerprint of the newer state.
     fingerprint: u64,
 }
@@ -82,6 +89,8 @@
             }
         }
         let removed = kept.iter().enumerate().filter(|(_, kept)| !**kept);
+        let removed_workspaces = older.workspaces.keys();
+        let workspaces = newer.workspaces.iter();
         Self {
             from: older.version,
             to: newer.version,
@@ -89,6 +98,15 @@
             inserted,
             services: (older.services != newer.services).then(|| newer.services.clone()),
             limits: (older.limits != newer.limits).then_some(newer.limits),
+            requires_keys: newer.requires_keys,
+            removed_workspaces: removed_workspaces
+                .filter(|name| !newer.workspaces.contains_key(*name))
+                .cloned()
+                .collect(),
+            workspaces: workspaces
+                .filter(|(name, workspace)| older.workspaces.get(*name) != Some(*workspace))
+                .map(|(_, workspace)| Arc::clone(workspace))
+                .collect(),
             fingerprint: fingerprint(newer),
         }
     }
@@ -122,17 +140,31 @@
             routes.push(Arc::clone(route));
         }
         routes.extend(kept.map(|(_, route)| Arc::clone(route)));
+        let mut workspaces = older.workspaces.clone();
+        for name in &self.removed_workspaces {
+            workspaces.remove(name);
+        }
+        for workspace in &self.workspaces {
+            workspaces.insert(workspace.name.clone(), Arc::clone(workspace));
+        }
         let newer = State {
             version: self.to,
             routes,
             services: self.services.as_ref().unwrap_or(&older.services).clone(),
             limits: self.limits.unwrap_or(older.limits),
+            requires_keys: self.requires_keys,
+            workspaces,
         };
         if fingerprint(&newer) != self.fingerprint {
             return Err(Mismatch::Content(self.to));
         }
         Ok(newer)
     }
+
+    /// Returns the number of routes and workspaces that the difference holds.
+    fn len(&self) -> usize {
+        self.inserted.len() + self.workspaces.len()
+    }
 }
 
 /// Recent differences, each of which applies to the version that the one before it
@@ -140,8 +172,8 @@
 #[derive(Debug, Default)]
 pub struct History {
     differences: VecDeque<Arc<Difference>>,
-    /// Number of routes in all differences.
-    routes: usize,
+    /// Number of routes and workspaces in all differences.
+    items: usize,
 }
 
 impl History {
@@ -151,26 +183,27 @@
         let newest = self.differences.back().map(|newest| newest.to);
         if newest.is_some_and(|newest| newest != difference.from) {
             self.differences.clear();
-            self.routes = 0;
+            self.items = 0;
         }
-        self.routes += difference.inserted.len();
+        self.items += difference.len();
         self.differences.push_back(difference);
-        while self.differences.len() > MAX_DIFFERENCES || self.routes > MAX_HISTORY_ROUTES {
+        while self.differences.len() > MAX_DIFFERENCES || self.items > MAX_HISTORY_ITEMS {
             let Some(oldest) = self.differences.pop_front() else {
                 return;
             };
-            self.routes -= oldest.inserted.len();
+            self.items -= oldest.len();
         }
     }
 
     /// Returns the differences that lead from a version to the newest one, or `None`
-    /// if they are not known or do not save anything over a state of `routes` routes.
+    /// if they are not known or do not save anything over a state of `items` routes and
+    /// workspaces.
     #[must_use]
-    pub fn since(&self, version: Version, routes: usize) -> Option<Vec<Arc<Difference>>> {
+    pub fn since(&self, version: Version, items: usize) -> Option<Vec<Arc<Difference>>> {
         let first = self.differences.iter().position(|d| d.from == version)?;
         let differences: Vec<_> = self.differences.iter().skip(first).cloned().collect();
-        let inserted: usize = differences.iter().map(|d| d.inserted.len()).sum();
-        (inserted < routes.max(1)).then_some(differences)
+        let held: usize = differences.iter().map(|d| d.len()).sum();
+        (held < items.max(1)).then_some(differences)
     }
 }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,7 +1,8 @@
-//! Desired state of an installation: routes, services and limits.
+//! Desired state of an installation: routes, services, workspaces and limits.
 //!
 //! [`State`] is one version of the desired state as an operator wrote it.
-//! [`Table`] looks up the route of a request, and [`Splits`] chooses among the
+//! [`Table`] looks up the route of a request and the workspace
+//! of an API key, and [`Splits`] chooses among the
 //! services of a route in proportion to their weights. A [`History`] holds the
 //! [`Difference`]s between recent versions.
 
@@ -9,8 +10,10 @@
 mod split;
 mod state;
 mod table;
+mod workspace;
 
 pub use difference::{Difference, History, Mismatch};
 pub use split::Splits;
-pub use state::{Backend, Fault, Kind, Limits, Route, Service, State};
+pub use state::{Backend, Fault, Kind, Limits, Route, Service, State, Warmup};
 pub use table::{Table, host_name};
+pub use workspace::{KeyDigest, Quota, Workspace};
--- a/crates/routing/src/state.rs
+++ b/crates/routing/src/state.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_units::{ByteSize, Version};
+use carobdrift_units::{ByteSize, Rate, Version};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::workspace::Workspace;
+
 /// Desired state of an installation, as an operator writes it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct State {
@@ -19,6 +21,10 @@
     pub services: BTreeMap<carobdrift_units::Service, Service>,
     /// Limits on callers.
     pub limits: Limits,
+    /// Whether requests need an API key, except on public routes.
+    pub requires_keys: bool,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<String, Arc<Workspace>>,
 }
 
 /// Route: a set of requests with common settings.
@@ -40,6 +46,8 @@
     pub max_attempts: u32,
     /// Priority; 0 is the most urgent.
     pub priority: u32,
+    /// Whether requests need no API key.
+    pub public: bool,
     /// Services that serve the route; a route without a traffic split has one.
     pub backends: Vec<Backend>,
 }
@@ -69,6 +77,18 @@
     pub health_path: String,
     /// Connections that one target accepts from all callers together.
     pub max_connections: u32,
+    /// What a target tolerates while it is cold; absent if it tolerates its usual
+    /// load.
+    pub warmup: Option<Warmup>,
+}
+
+/// What a target tolerates while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Warmup {
+    /// Time for which a target is cold after its start.
+    pub duration: Duration,
+    /// Rate of requests that a cold target tolerates, from all entries together.
+    pub rate: Rate,
 }
 
 /// Limits on the size and duration of callers' requests.
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,16 +1,20 @@
-//! Lookup of routes.
+//! Lookup of routes and workspaces.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::state::{Route, State};
+use crate::workspace::{KeyDigest, Workspace};
 
-/// Routing table: a desired state with its routes indexed by host.
+/// Routing table: a desired state with its routes indexed by host, and its
+/// workspaces by API key.
 #[derive(Debug)]
 pub struct Table {
     state: State,
     /// Routes of each host, longest prefix first.
     hosts: HashMap<String, Vec<Arc<Route>>>,
+    /// Workspace of each API key; `None` for a key that several workspaces list.
+    keys: HashMap<KeyDigest, Option<Arc<Workspace>>>,
 }
 
 impl Table {
@@ -25,7 +29,22 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { state, hosts }
+        let mut keys: HashMap<KeyDigest, Option<Arc<Workspace>>> = HashMap::new();
+        for workspace in state.workspaces.values() {
+            for key in &workspace.keys {
+                keys.entry(*key)
+                    .and_modify(|holder| {
+                        if holder
+                            .as_ref()
+                            .is_none_or(|other| other.name != workspace.name)
+                        {
+                            *holder = None;
+                        }
+                    })
+                    .or_insert_with(|| Some(Arc::clone(workspace)));
+            }
+        }
+        Self { state, hosts, keys }
     }
 
     /// Returns the state from which the table was built.
@@ -44,6 +63,13 @@
             .find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the workspace that holds an API key. A key that several workspaces
+    /// list belongs to none of them.
+    #[must_use]
+    pub fn workspace(&self, key: &KeyDigest) -> Option<&Arc<Workspace>> {
+        self.keys.get(key)?.as_ref()
+    }
+
     /// Returns the routes of a host, longest prefix first.
     #[must_use]
     pub fn host_routes(&self, host: &str) -> Option<&[Arc<Route>]> {
--- a/crates/routing/tests/all/difference.rs
+++ b/crates/routing/tests/all/difference.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::{route, state};
+use crate::{route, state, workspace};
 
 const SEED: u64 = 20_261_205;
 
@@ -40,6 +40,14 @@
     if random.random_bool(0.3) {
         state.limits.max_body.0 += number;
     }
+    for name in ["blue", "red", "green"] {
+        if random.random_bool(0.5) {
+            let key = if random.random_bool(0.5) { "k1" } else { "k2" };
+            let workspace = Arc::new(workspace(name, &[key]));
+            state.workspaces.insert(name.to_owned(), workspace);
+        }
+    }
+    state.requires_keys = random.random_bool(0.5);
     if random.random_bool(0.3) {
         state.services.remove(&"b".parse().unwrap());
     }
@@ -47,7 +55,7 @@
 }
 
 /// Guards against an entry whose state differs from the operator's after it applied
-/// a difference: order, services and limits included.
+/// a difference: order, services, workspaces and limits included.
 #[test]
 fn a_difference_restores_the_newer_state_exactly() {
     let mut random = SmallRng::seed_from_u64(SEED);
--- a/crates/routing/tests/all/main.rs
+++ b/crates/routing/tests/all/main.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use carobdrift_routing::{
-    Backend, Fault, Kind, Limits, Route, Service, Splits, State, Table, host_name,
+    Backend, Fault, KeyDigest, Kind, Limits, Route, Service, Splits, State, Table, Workspace,
+    host_name,
 };
 use carobdrift_units::Version;
 
@@ -21,6 +22,7 @@
         target_latency: Duration::from_millis(250),
         max_attempts: 2,
         priority: 1,
+        public: false,
         backends: backends
             .iter()
             .map(|(service, weight)| Backend {
@@ -35,6 +37,7 @@
     let service = Service {
         health_path: "/health".to_owned(),
         max_connections: 100,
+        warmup: None,
     };
     State {
         version: Version(7),
@@ -44,6 +47,20 @@
             ("b".parse().unwrap(), service),
         ]),
         limits: Limits::default(),
+        requires_keys: false,
+        workspaces: BTreeMap::new(),
+    }
+}
+
+fn workspace(name: &str, keys: &[&str]) -> Workspace {
+    Workspace {
+        name: name.to_owned(),
+        keys: keys
+            .iter()
+            .map(|key| KeyDigest::of(key.as_bytes()))
+            .collect(),
+        priority: None,
+        quota: None,
     }
 }
 
@@ -130,3 +147,26 @@
         ]
     );
 }
+
+/// Guards against a key of two workspaces that opens one of them, and against keys
+/// that are found under another workspace.
+#[test]
+fn a_key_belongs_to_the_only_workspace_that_lists_it() {
+    let mut state = state(Vec::new());
+    for (name, keys) in [("blue", ["k1", "both"]), ("red", ["k2", "both"])] {
+        state
+            .workspaces
+            .insert(name.to_owned(), Arc::new(workspace(name, &keys)));
+    }
+    let table = Table::new(state);
+
+    let holder = |key: &str| {
+        let workspace = table.workspace(&KeyDigest::of(key.as_bytes()));
+        workspace.map(|workspace| workspace.name.as_str())
+    };
+
+    assert_eq!(holder("k1"), Some("blue"));
+    assert_eq!(holder("k2"), Some("red"));
+    assert_eq!(holder("both"), None);
+    assert_eq!(holder("k3"), None);
+}
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use name::{Cell, Class, EditId, Instance, NameError, Region, Service, Target, Team, Zone};
 pub use number::{
-    BitRate, ByteSize, Incarnation, Millis, ParseError, PerSecond, Percent, Revision, Version,
+    BitRate, ByteSize, Incarnation, Millis, ParseError, PerSecond, Percent, Rate, Revision, Version,
 };
 pub use rendezvous::rank;
 pub use secret::Secret;
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -78,6 +78,35 @@
     BitRate
 );
 
+counter!(
+    /// A rate in thousandths per second.
+    Rate
+);
+
+impl Rate {
+    /// Returns the rate closest to a number per second; `None` if the number is
+    /// negative, infinite or not a number.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the number is not negative, and the cast saturates"
+    )]
+    pub fn from_per_second(number: f64) -> Option<Self> {
+        (number.is_finite() && number >= 0.0).then(|| Self((number * 1000.0).round() as u64))
+    }
+
+    /// Returns the number per second.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "rates are far below 2^52 thousandths"
+    )]
+    pub fn per_second(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+}
+
 impl Version {
     /// Version of a service that has no document.
     pub const NONE: Self = Self(0);
