Send nothing to the targets of evacuated zones

Each entry keeps the newest begin or end of each zone by its store revision, and every heartbeat and digest repeats all of them, so an entry that the store refuses, and one that starts, learns of them from others. Pools leave out targets of evacuated zones: new, waiting and repeated requests, hedges and probes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Shared state of the data path.
 
+use std::collections::HashSet;
 use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -123,6 +124,11 @@
         self.services.set_entries(entries);
     }
 
+    /// Sets the zones whose targets get no requests because they are evacuated.
+    pub fn set_evacuated(&self, zones: HashSet<Zone>) {
+        self.services.set_evacuated(zones);
+    }
+
     /// Closes all idle connections to targets, for example after a suspension.
     pub fn close_idle(&self) {
         self.upstreams.clear();
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -48,6 +48,8 @@
     estimates: HashMap<String, Estimate>,
     /// Service of each target.
     targets: HashMap<Target, Service>,
+    /// Zones whose targets get no requests.
+    evacuated: Arc<HashSet<Zone>>,
     entries: usize,
 }
 
@@ -86,10 +88,15 @@
         {
             pool.remove(&endpoint.id);
         }
+        let evacuated = Arc::clone(&state.evacuated);
         let pool = state
             .pools
             .entry(endpoint.service.clone())
-            .or_insert_with(|| Pool::new(self.zone.clone()));
+            .or_insert_with(|| {
+                let mut pool = Pool::new(self.zone.clone());
+                pool.set_evacuated(evacuated);
+                pool
+            });
         let service = endpoint.service.clone();
         pool.put(endpoint, now);
         state.wake_first(&service);
@@ -104,6 +111,20 @@
         }
     }
 
+    /// Sets the zones whose targets get no requests.
+    pub(crate) fn set_evacuated(&self, zones: HashSet<Zone>) {
+        let zones = Arc::new(zones);
+        let mut state = self.lock();
+        state.evacuated = Arc::clone(&zones);
+        for pool in state.pools.values_mut() {
+            pool.set_evacuated(Arc::clone(&zones));
+        }
+        let services: Vec<Service> = state.pools.keys().cloned().collect();
+        for service in services {
+            state.wake_first(&service);
+        }
+    }
+
     /// Sets the number of entries that share the retry reserve.
     pub(crate) fn set_entries(&self, entries: usize) {
         let mut state = self.lock();
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use carobdrift_peers::{
-    Delta, Event, Identity, Peers, Row, Update, Watermark, fetch_state, fetch_targets,
+    Delta, Evacuation, Event, Identity, Peers, Row, Update, Watermark, fetch_state, fetch_targets,
 };
 use carobdrift_platform::Cause;
 use carobdrift_routing::{Difference, Mismatch, State};
-use carobdrift_units::Version;
+use carobdrift_units::{Version, Zone};
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::Instant;
 
@@ -206,11 +206,18 @@
     let now = Instant::now();
     if subject == Subject::State {
         let mut changed = false;
+        let mut evacuations = Vec::new();
         for record in batch.records {
-            if let Item::State(state) = record.item {
-                changed |= put_state(shared, state, Vec::new(), "store");
+            match record.item {
+                Item::State(state) => {
+                    changed |= put_state(shared, state, Vec::new(), "store");
+                }
+                Item::Evacuation(evacuation) => evacuations.push(evacuation),
+                Item::Target(_) | Item::Removed(_) | Item::Entry(_) => {}
             }
         }
+        let full_revision = is_full.then_some(batch.revision);
+        changed |= apply_evacuations(shared, evacuations, full_revision, "store");
         if changed {
             peers.announce().await;
         }
@@ -297,7 +304,10 @@
                     peers.relay(&delta).await;
                 }
             }
-            Event::Watermark(from, watermark) => {
+            Event::Watermark(from, watermark, evacuations) => {
+                if apply_evacuations(&shared, evacuations, None, "peer") {
+                    peers.announce().await;
+                }
                 if watermark.store_age_ms < u32::MAX {
                     let store_age = Duration::from_millis(watermark.store_age_ms.into());
                     shared.record_peer_store_age(store_age);
@@ -444,6 +454,37 @@
     applied
 }
 
+/// Applies evacuations that were read from the store or received from another entry.
+/// `full_revision` is the revision of a full read of the store. Returns whether a zone
+/// was evacuated or taken back into use.
+fn apply_evacuations(
+    shared: &Shared,
+    reported: Vec<Evacuation>,
+    full_revision: Option<u64>,
+    source: &str,
+) -> bool {
+    let zones = {
+        let mut evacuations = shared.evacuations();
+        let changed = match full_revision {
+            Some(revision) => evacuations.replace(reported, revision),
+            None => evacuations.apply(reported),
+        };
+        if !changed {
+            return false;
+        }
+        evacuations.active()
+    };
+    let mut names: Vec<&str> = zones.iter().map(Zone::as_str).collect();
+    names.sort_unstable();
+    log::info!(
+        target: "state",
+        "event=evacuated zones={} source={source}",
+        names.join(",")
+    );
+    shared.gateway.set_evacuated(zones);
+    true
+}
+
 fn apply_rows(shared: &Shared, changed: &[Row], source: &str) {
     for row in changed {
         if let Some(endpoint) = &row.endpoint {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! gateway, and tells callers which entries to use.
 
 mod directory;
+mod evacuation;
 mod exporter;
 mod follower;
 mod logging;
@@ -18,6 +19,8 @@
 mod store;
 mod task;
 
+pub use carobdrift_peers::Evacuation;
+pub use evacuation::Evacuations;
 pub use logging::{LogError, set_up_logging};
 pub use node::{Error, Node};
 pub use replica::Replica;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::directory::{self, Candidate};
+use crate::evacuation::Evacuations;
 use crate::exporter::Exporter;
 use crate::follower;
 use crate::replica::Replica;
@@ -72,6 +73,7 @@
     pub(crate) store: Arc<dyn Store>,
     pub(crate) start: Start,
     replica: Mutex<Replica>,
+    evacuations: Mutex<Evacuations>,
     /// Status of the store for the desired state and the targets.
     store_status: Mutex<StoreStatus>,
     /// Start of the process in Unix milliseconds.
@@ -160,6 +162,7 @@
             gateway: Arc::clone(&gateway),
             store,
             replica: Mutex::default(),
+            evacuations: Mutex::default(),
             store_status: Mutex::default(),
             started_ms: unix_ms(),
             rate: AtomicU32::new(0),
@@ -260,6 +263,11 @@
         self.replica.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn evacuations(&self) -> MutexGuard<'_, Evacuations> {
+        let evacuations = self.evacuations.lock();
+        evacuations.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn store_status(&self) -> MutexGuard<'_, StoreStatus> {
         self.store_status
             .lock()
@@ -369,6 +377,7 @@
                 StoreHealth::Healthy
             },
             watermark: self.watermark(),
+            evacuations: self.evacuations().list(),
         }
     }
 
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -214,7 +214,7 @@
     let (target, endpoint) = match record.item {
         Item::Target(endpoint) => (endpoint.id.clone(), Some(endpoint)),
         Item::Removed(target) => (target, None),
-        Item::State(_) | Item::Entry(_) => return None,
+        Item::State(_) | Item::Evacuation(_) | Item::Entry(_) => return None,
     };
     Some(Row {
         revision: record.revision,
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
+use carobdrift_peers::Evacuation;
 use carobdrift_placement::Endpoint;
 use carobdrift_platform::CallFuture;
 use carobdrift_routing::State;
@@ -25,7 +26,7 @@
 /// Kind of records in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Subject {
-    /// Desired state.
+    /// Desired state, and evacuations of zones.
     State,
     /// Registrations of targets.
     Targets,
@@ -56,6 +57,8 @@
 pub enum Item {
     /// Desired state.
     State(State),
+    /// Begin or end of the evacuation of a zone.
+    Evacuation(Evacuation),
     /// Registered target.
     Target(Endpoint),
     /// Target whose registration was removed or can't be decoded.
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -62,6 +62,20 @@
     pub store: StoreHealth,
     /// Versions of the data that the entry has.
     pub watermark: Watermark,
+    /// Evacuations that the entry knows, ended ones included. They are few, so that
+    /// every heartbeat and digest repeats all of them.
+    pub evacuations: Vec<Evacuation>,
+}
+
+/// Begin or end of the evacuation of a zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// The zone.
+    pub zone: Zone,
+    /// Store revision of the begin or end.
+    pub revision: u64,
+    /// Whether the targets of the zone get no requests.
+    pub active: bool,
 }
 
 /// Versions of the data that an entry has.
@@ -86,6 +100,8 @@
     pub(crate) summary: Option<Summary>,
     /// Versions of the data that the hub has.
     pub(crate) watermark: Watermark,
+    /// Evacuations that the hub knows.
+    pub(crate) evacuations: Vec<Evacuation>,
 }
 
 /// Summary of the entries of a zone that a digest does not list individually.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -20,7 +20,7 @@
 mod transfer;
 
 pub use answer::{Answer, Targets, Update};
-pub use datagram::{Delta, Heartbeat, Phase, Row, StoreHealth, Watermark};
+pub use datagram::{Delta, Evacuation, Heartbeat, Phase, Row, StoreHealth, Watermark};
 pub use fetch::{FetchError, fetch_state, fetch_targets};
 pub use membership::{Candidate, Identity, Membership, Peer};
 pub use peers::{Data, Event, Peers, Settings};
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -19,7 +19,7 @@
 
 use crate::answer::{Targets, Update};
 use crate::datagram::{
-    Datagram, Delta, Digest, Heartbeat, MAX_DATAGRAM_BYTES, Member, Row, Watermark,
+    Datagram, Delta, Digest, Evacuation, Heartbeat, MAX_DATAGRAM_BYTES, Member, Row, Watermark,
 };
 use crate::digest::Tracker;
 use crate::membership::{Identity, Membership, Peer};
@@ -98,8 +98,9 @@
 /// Event received from another entry.
 #[derive(Debug, Clone)]
 pub enum Event {
-    /// Versions of the data that the entry at this address has.
-    Watermark(IpAddr, Watermark),
+    /// Versions of the data that the entry at this address has, and the evacuations
+    /// that it knows.
+    Watermark(IpAddr, Watermark, Vec<Evacuation>),
     /// Changes to the registered targets.
     Delta(Delta),
 }
@@ -346,18 +347,17 @@
                 members: listed,
                 summary: Some(summary),
                 watermark: heartbeat.watermark,
+                evacuations: heartbeat.evacuations.clone(),
             });
             self.send(&digest, &recipients).await;
         } else {
-            self.send_members(&members, heartbeat.watermark, &recipients)
-                .await;
+            self.send_members(&members, &heartbeat, &recipients).await;
         }
         if to_other_zones {
             let mut hubs = self.hubs();
             hubs.remove(&heartbeat.zone);
             let remote: Vec<IpAddr> = hubs.into_values().flatten().collect();
-            self.send_members(&members, heartbeat.watermark, &remote)
-                .await;
+            self.send_members(&members, &heartbeat, &remote).await;
         }
     }
 
@@ -380,8 +380,8 @@
             *count += 1;
             *count <= MAX_REMOTE_MEMBERS
         });
-        let watermark = self.heartbeat().watermark;
-        self.send_members(&remote, watermark, &self.zone_spokes())
+        let heartbeat = self.heartbeat();
+        self.send_members(&remote, &heartbeat, &self.zone_spokes())
             .await;
     }
 
@@ -401,19 +401,20 @@
 
     /// Lists one entry that changed to this zone and to the hubs of all zones.
     async fn send_change(&self, address: IpAddr, peer: &Peer) {
-        let watermark = self.heartbeat().watermark;
+        let heartbeat = self.heartbeat();
         let mut recipients = self.zone_spokes();
         recipients.extend(self.all_hubs());
         let member = member(address, peer, Instant::now());
-        self.send_members(&[member], watermark, &recipients).await;
+        self.send_members(&[member], &heartbeat, &recipients).await;
     }
 
-    async fn send_members(&self, members: &[Member], watermark: Watermark, recipients: &[IpAddr]) {
+    async fn send_members(&self, members: &[Member], own: &Heartbeat, recipients: &[IpAddr]) {
         for chunk in members.chunks(MAX_DIGEST_MEMBERS) {
             let digest = Datagram::Digest(Digest {
                 members: chunk.to_vec(),
                 summary: None,
-                watermark,
+                watermark: own.watermark,
+                evacuations: own.evacuations.clone(),
             });
             self.send(&digest, recipients).await;
         }
@@ -520,22 +521,26 @@
                 if !self.is_hub() {
                     self.list_hubs(from, &heartbeat.zone).await;
                 }
-                Some(Event::Watermark(from, heartbeat.watermark))
+                Some(Event::Watermark(
+                    from,
+                    heartbeat.watermark,
+                    heartbeat.evacuations,
+                ))
             }
-            Datagram::Digest(digest) => {
+            Datagram::Digest(mut digest) => {
                 let watermark = digest.watermark;
+                let evacuations = std::mem::take(&mut digest.evacuations);
                 self.answer_outdated(from, watermark).await;
                 if !self.apply_digest(from, digest, now) && self.may_request_members(now) {
                     self.send(&Datagram::MembersRequest, &[from]).await;
                 }
-                Some(Event::Watermark(from, watermark))
+                Some(Event::Watermark(from, watermark, evacuations))
             }
             Datagram::MembersRequest => {
                 if self.is_hub() {
                     let heartbeat = self.heartbeat();
                     let members = self.members(&heartbeat);
-                    self.send_members(&members, heartbeat.watermark, &[from])
-                        .await;
+                    self.send_members(&members, &heartbeat, &[from]).await;
                 }
                 None
             }
@@ -558,8 +563,8 @@
                 .map(|(address, peer)| member(address, peer, now))
                 .collect()
         };
-        let watermark = self.heartbeat().watermark;
-        self.send_members(&members, watermark, &[recipient]).await;
+        let heartbeat = self.heartbeat();
+        self.send_members(&members, &heartbeat, &[recipient]).await;
     }
 
     /// Sends a heartbeat to an entry of another zone that lacks data of this one. It may
--- a/crates/peers/tests/all/fixture.rs
+++ b/crates/peers/tests/all/fixture.rs
@@ -82,6 +82,7 @@
                 rate: heartbeat_state.rate.load(Ordering::SeqCst),
                 store: StoreHealth::Healthy,
                 watermark: watermark(&heartbeat_state),
+                evacuations: Vec::new(),
             }),
             state: Box::new(move |since| update(&version_state, since)),
             targets: Box::new(move |since| targets(&targets_state, since)),
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of the targets of one service.
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use carobdrift_units::{Target, Zone};
@@ -118,6 +119,8 @@
     contention: Contention,
     attempts: u64,
     first_added: Option<Instant>,
+    /// Zones whose targets get no requests.
+    evacuated: Arc<HashSet<Zone>>,
 }
 
 impl Pool {
@@ -135,9 +138,15 @@
             contention: Contention::default(),
             attempts: 0,
             first_added: None,
+            evacuated: Arc::default(),
         }
     }
 
+    /// Sets the zones whose targets get neither requests nor probes.
+    pub fn set_evacuated(&mut self, zones: Arc<HashSet<Zone>>) {
+        self.evacuated = zones;
+    }
+
     /// Adds a target or applies its new registration. A new process under the
     /// same id starts without reports and failures. A target that stated that it
     /// is leaving stays so until its process is replaced.
@@ -189,7 +198,7 @@
     pub fn accepts(&self, endpoint: &Endpoint, now: Instant) -> bool {
         self.candidates.get(&endpoint.id).is_some_and(|candidate| {
             candidate.endpoint.started_ms == endpoint.started_ms
-                && candidate.endpoint.lifecycle == Lifecycle::Ready
+                && self.is_open(candidate)
                 && self
                     .statements
                     .paused_until(&candidate.endpoint, now)
@@ -310,6 +319,7 @@
     fn try_new_target(&self, criteria: Criteria<'_>, now: Instant) -> Option<Choice> {
         let mut untried = self.candidates.values().filter(|candidate| {
             candidate.is_untried(now)
+                && self.is_open(candidate)
                 && candidate.is_usable(now)
                 && !candidate.is_on_probation()
                 && !self.is_paused(candidate, now)
@@ -387,7 +397,8 @@
     pub fn has_suitable(&self, now: Instant) -> bool {
         let mut candidates = self.candidates.values();
         candidates.any(|candidate| {
-            candidate.is_usable(now)
+            self.is_open(candidate)
+                && candidate.is_usable(now)
                 && !self.is_paused(candidate, now)
                 && self.is_suitable(candidate, now)
         })
@@ -413,6 +424,12 @@
         self.candidates.get(target)?.reported_slowdown()
     }
 
+    /// Whether a target accepts new requests and its zone is not evacuated.
+    fn is_open(&self, candidate: &Candidate) -> bool {
+        candidate.endpoint.lifecycle == Lifecycle::Ready
+            && !self.evacuated.contains(&candidate.endpoint.zone)
+    }
+
     /// Whether a target has a slot for another request.
     fn has_slot(&self, candidate: &Candidate, slot_use: SlotUse, now: Instant) -> bool {
         let slots = candidate.slots();
@@ -442,8 +459,7 @@
     /// Returns the time at which the first pause of a ready target ends.
     fn first_pause_end(&self, criteria: Criteria<'_>, now: Instant) -> Option<Instant> {
         let ready = self.candidates.values().filter(|candidate| {
-            candidate.endpoint.lifecycle == Lifecycle::Ready
-                && !criteria.tried.contains(&candidate.endpoint.id)
+            self.is_open(candidate) && !criteria.tried.contains(&candidate.endpoint.id)
         });
         ready
             .filter_map(|candidate| self.statements.paused_until(&candidate.endpoint, now))
@@ -457,7 +473,7 @@
         let mut ranked = Vec::with_capacity(self.candidates.len());
         let mut ejected = Vec::new();
         for candidate in self.candidates.values() {
-            if candidate.endpoint.lifecycle != Lifecycle::Ready
+            if !self.is_open(candidate)
                 || criteria.tried.contains(&candidate.endpoint.id)
                 || self.is_paused(candidate, now)
             {
