Decide in one place what a complete, well-formed response is

Cause: a failed write takes the error of a reset from the socket. The read after it saw a normal end, which is the end of a body without a length, so a caller got the part that had arrived as the complete response (read_response and next_part). The parser accepts LF as a line end, so a field line that begins with LF ended the head and the body began with that line. Status codes up to 999, 101, a chunk line without a size (taken as the last chunk), blanks after a size, control bytes in extensions, invalid trailers, chunks in HTTP/1.0, conflicting lengths of responses without a body, an empty line before the head and heads over the limit whose end arrived with the surplus were accepted too.

Change: the module `response` decides on heads, framing and the end of the stream for every reader of the crate: targets, probes, the store client, and fetches. `lines` holds what httparse does not enforce. The reader keeps the first failure of the connection in either direction; a body without a length is complete only without one, and without a pending error of the socket. The stricter chunk and trailer lines also apply to request bodies. Status 000 and a blank or another control byte in a name were refused before.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::lines;
 use crate::reader::ReadError;
 
 /// Longest chunk-size line, chunk extensions included, in bytes.
@@ -164,10 +165,13 @@
                         return Ok(false);
                     };
                     self.trailer += length;
-                    let _ = buffer.split_to(length);
+                    let line = buffer.split_to(length);
                     if end == 0 {
                         return Ok(true);
                     }
+                    if !lines::is_field_line(&line[..end]) {
+                        return Err(ReadError::Malformed("trailer"));
+                    }
                 }
             }
         }
@@ -179,6 +183,11 @@
 fn parse_chunk_size_line(buffer: &[u8]) -> Result<Option<(usize, usize)>, ReadError> {
     match httparse::parse_chunk_size(buffer) {
         Ok(httparse::Status::Complete((line_length, size))) => {
+            let line = buffer.get(..line_length).unwrap_or_default();
+            let line = line.strip_suffix(b"\r\n").unwrap_or_default();
+            if line_length > MAX_CHUNK_LINE_BYTES || !lines::is_chunk_line(line) {
+                return Err(ReadError::Malformed("chunk"));
+            }
             let size = usize::try_from(size).map_err(|_| ReadError::BodyTooLarge)?;
             Ok(Some((line_length, size)))
         }
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -201,44 +201,37 @@
         window: usize,
         sent: &mut usize,
     ) -> Result<Response, ExchangeError> {
-        let mut write_error = None;
-        let result = loop {
+        let response = loop {
             let read = self.reader.response(method, window);
             tokio::select! {
                 biased;
                 written = self.writer.write(&self.unsent), if !self.unsent.is_empty() => {
-                    match written {
-                        Ok(count) if count > 0 => {
-                            *sent += count;
-                            self.unsent.advance(count);
-                        }
-                        // The peer may have sent a response before it closed the
-                        // connection.
-                        Ok(_) => {
-                            self.unsent.clear();
-                            write_error = Some(io::ErrorKind::WriteZero.into());
-                        }
-                        Err(error) => {
-                            self.unsent.clear();
-                            write_error = Some(error);
-                        }
-                    }
+                    *sent += self.end_write(written);
+                }
+                response = read => {
+                    break response.map_err(|cause| ExchangeError { sent: *sent, cause })?;
                 }
-                response = read => break response,
             }
         };
-        let response = match (result, &mut write_error) {
-            (Ok(response), _) => response,
-            (Err(cause), error) => {
-                let cause = error.take().map_or(cause, ReadError::Io);
-                return Err(ExchangeError { sent: *sent, cause });
+        self.persistence = (response.keep_alive, response.idle_timeout);
+        Ok(response)
+    }
+
+    /// Accounts for a write and returns the number of bytes that were handed to the
+    /// kernel. After a failure nothing more is sent, but the peer may have sent a
+    /// response before it closed the connection.
+    fn end_write(&mut self, written: io::Result<usize>) -> usize {
+        let failure = match written {
+            Ok(count) if count > 0 => {
+                self.unsent.advance(count);
+                return count;
             }
+            Ok(_) => io::ErrorKind::WriteZero,
+            Err(error) => error.kind(),
         };
-        self.persistence = (
-            response.keep_alive && write_error.is_none(),
-            response.idle_timeout,
-        );
-        Ok(response)
+        self.unsent.clear();
+        self.reader.record_failure(failure);
+        0
     }
 
     /// Reads the next part of the body of a response that was started; returns
@@ -254,13 +247,7 @@
             tokio::select! {
                 biased;
                 written = self.writer.write(&self.unsent), if !self.unsent.is_empty() => {
-                    match written {
-                        Ok(count) if count > 0 => self.unsent.advance(count),
-                        Ok(_) | Err(_) => {
-                            self.unsent.clear();
-                            self.persistence.0 = false;
-                        }
-                    }
+                    self.end_write(written);
                 }
                 part = read => {
                     let part = part?;
@@ -287,11 +274,11 @@
     }
 
     /// Ends an exchange whose response is complete. The connection cannot be
-    /// reused if a part of the request was not sent.
+    /// reused if a part of the request was not sent, or a write failed.
     fn finish(&mut self) {
         let (keep_alive, idle_timeout) = self.persistence;
         self.last_used = Instant::now();
         self.expiry = idle_timeout.map(|timeout| self.last_used + timeout);
-        self.reusable = keep_alive && self.unsent.is_empty();
+        self.reusable = keep_alive && self.unsent.is_empty() && !self.reader.has_failed();
     }
 }
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING, UPGRADE};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
 use crate::body::Framing;
 use crate::reader::ReadError;
 
 /// Largest number of header fields in one message.
-const MAX_HEADER_FIELDS: usize = 128;
+pub(crate) const MAX_HEADER_FIELDS: usize = 128;
 
 /// Longest idle time-out of a peer that is taken into account. Longer ones make
 /// no difference, and added to the clock they could overflow.
@@ -32,16 +32,6 @@
     pub(crate) http11: bool,
 }
 
-/// Head of a response.
-#[derive(Debug)]
-pub(crate) struct ResponseHead {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) framing: Framing,
-    pub(crate) keep_alive: bool,
-    pub(crate) idle_timeout: Option<Duration>,
-}
-
 /// Parses the head of a request; returns the length of the head in bytes and
 /// the head, or `None` while the head is incomplete.
 pub(crate) fn parse_request(bytes: &[u8]) -> Result<Option<(usize, RequestHead)>, ReadError> {
@@ -76,47 +66,7 @@
     Ok(Some((length, head)))
 }
 
-/// Parses the head of a response to a request with the given method; returns
-/// the length of the head in bytes and the head, or `None` while the head is
-/// incomplete.
-pub(crate) fn parse_response(
-    bytes: &[u8],
-    method: &Method,
-) -> Result<Option<(usize, ResponseHead)>, ReadError> {
-    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
-    let mut response = httparse::Response::new(&mut fields);
-    let length = match response.parse(bytes) {
-        Ok(httparse::Status::Complete(length)) => length,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(ReadError::Malformed("head")),
-    };
-    let status = StatusCode::from_u16(response.code.unwrap_or_default())
-        .map_err(|_| ReadError::Malformed("status"))?;
-    let mut headers = header_map(response.headers)?;
-    let bodiless = *method == Method::HEAD
-        || status.is_informational()
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    let framing = if bodiless {
-        Framing::Length(0)
-    } else {
-        framing_of(&headers)?.unwrap_or(Framing::Close)
-    };
-    let keep_alive =
-        keeps_alive(&headers, response.version == Some(1)) && framing != Framing::Close;
-    let idle_timeout = idle_timeout(&headers);
-    remove_hop_by_hop(&mut headers);
-    let head = ResponseHead {
-        status,
-        headers,
-        framing,
-        keep_alive,
-        idle_timeout,
-    };
-    Ok(Some((length, head)))
-}
-
-fn header_map(fields: &[httparse::Header<'_>]) -> Result<HeaderMap, ReadError> {
+pub(crate) fn header_map(fields: &[httparse::Header<'_>]) -> Result<HeaderMap, ReadError> {
     let mut headers = HeaderMap::with_capacity(fields.len());
     for field in fields {
         let name = HeaderName::from_bytes(field.name.as_bytes())
@@ -130,7 +80,7 @@
 
 /// Returns the framing that the header states. Repeated or contradictory
 /// framing fields are refused because they permit request smuggling.
-fn framing_of(headers: &HeaderMap) -> Result<Option<Framing>, ReadError> {
+pub(crate) fn framing_of(headers: &HeaderMap) -> Result<Option<Framing>, ReadError> {
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
     let mut encodings = headers.get_all(TRANSFER_ENCODING).iter();
     match (lengths.next(), encodings.next()) {
@@ -156,7 +106,7 @@
     }
 }
 
-fn keeps_alive(headers: &HeaderMap, http11: bool) -> bool {
+pub(crate) fn keeps_alive(headers: &HeaderMap, http11: bool) -> bool {
     let mut keep_alive = http11;
     for token in connection_tokens(headers) {
         if token.eq_ignore_ascii_case("close") {
@@ -176,7 +126,7 @@
         .map(str::trim)
 }
 
-fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
+pub(crate) fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
     let seconds = text
         .split(',')
@@ -187,7 +137,7 @@
 
 /// Removes the hop-by-hop fields and the fields that frame the message:
 /// complete bodies are forwarded with a `Content-Length` of their own.
-fn remove_hop_by_hop(headers: &mut HeaderMap) {
+pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = connection_tokens(headers)
         .filter_map(|token| HeaderName::from_bytes(token.as_bytes()).ok())
         .collect();
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -10,14 +10,18 @@
 //! determines how fast it is read.
 
 mod body;
+mod check;
 mod client;
 mod encode;
 mod head;
+mod lines;
 mod message;
 mod output;
 mod reader;
+mod response;
 mod server;
 
+pub use check::ResponseCheck;
 pub use client::{Connection, ExchangeError, OpenError};
 pub use encode::encode_request;
 pub use message::{Request, Response, Rest};
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -13,11 +13,9 @@
 use tokio::time::Instant;
 
 use crate::body::Decoder;
-use crate::head::{self, RequestHead, ResponseHead};
+use crate::head::{self, RequestHead};
 use crate::message::{Request, Response};
-
-/// Largest number of informational responses before a final one.
-const MAX_INFORMATIONAL_RESPONSES: usize = 16;
+use crate::response::ResponseDecoder;
 
 /// Free capacity of the buffer before each read, in bytes.
 const READ_CAPACITY_BYTES: usize = 8 * 1024;
@@ -64,17 +62,9 @@
     /// Head of the request that is being read, its body, and the time at which
     /// the head was completely read.
     request: Option<(RequestHead, Decoder, Instant)>,
-    response: Option<Incoming>,
-    /// Informational responses since the last final one.
-    informational: usize,
-}
-
-/// Response that is being read.
-#[derive(Debug)]
-struct Incoming {
-    /// Head, until it is returned with the first part of the body.
-    head: Option<ResponseHead>,
-    body: Decoder,
+    responses: ResponseDecoder,
+    /// First failure of the connection, in either direction.
+    failure: Option<io::ErrorKind>,
 }
 
 impl Reader {
@@ -87,8 +77,8 @@
             limits,
             started_at: None,
             request: None,
-            response: None,
-            informational: 0,
+            responses: ResponseDecoder::new(limits),
+            failure: None,
         }
     }
 
@@ -96,12 +86,13 @@
     /// been read yet.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
+        self.responses.set_limits(limits);
     }
 
     /// Returns whether a part of a message has been read.
     #[must_use]
     pub fn is_within_message(&self) -> bool {
-        !self.buffer.is_empty() || self.request.is_some() || self.response.is_some()
+        !self.buffer.is_empty() || self.request.is_some() || self.is_within_response()
     }
 
     /// Returns the arrival time of the first byte of the message that is being
@@ -155,12 +146,13 @@
         window: usize,
     ) -> Result<Response, ReadError> {
         loop {
-            let complete = self.decode_response(method)?;
-            if let Some(response) = self.take_response(complete, window) {
+            let complete = self.responses.decode(&mut self.buffer, method)?;
+            if let Some(response) = self.responses.take(complete, window) {
                 return Ok(response);
             }
             if self.fill().await? == 0 {
-                return self.close_response().ok_or(ReadError::Truncated);
+                self.check_end()?;
+                return self.responses.take(true, 0).ok_or(ReadError::Truncated);
             }
         }
     }
@@ -174,35 +166,48 @@
     /// bytes are not a valid body.
     pub(crate) async fn response_part(&mut self) -> Result<Option<Bytes>, ReadError> {
         loop {
-            let Some(incoming) = &mut self.response else {
-                return Ok(None);
-            };
-            let complete = incoming.body.decode(&mut self.buffer)?;
-            let part = incoming.body.take();
-            if complete {
-                self.response = None;
-            }
+            let (part, complete) = self.responses.decode_part(&mut self.buffer)?;
             if complete || !part.is_empty() {
                 return Ok((!part.is_empty()).then_some(part));
             }
             if self.fill().await? == 0 {
-                return match self.response.take() {
-                    Some(incoming) if incoming.body.ends_with_connection() => Ok(None),
-                    _ => Err(ReadError::Truncated),
-                };
+                self.check_end()?;
+                self.responses.end();
+                return Ok(None);
             }
         }
     }
 
+    /// Records that a write to the connection failed. The connection is broken then,
+    /// although what arrived before can still be read.
+    pub(crate) fn record_failure(&mut self, failure: io::ErrorKind) {
+        self.failure.get_or_insert(failure);
+    }
+
+    /// Returns whether the connection failed, in either direction.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failure.is_some()
+    }
+
+    /// Decides on the response at the end of the stream.
+    fn check_end(&mut self) -> Result<(), ReadError> {
+        // A reset after an orderly close is an error of the socket that no read reports.
+        let stream: &TcpStream = self.stream.as_ref();
+        if let Ok(Some(error)) = SockRef::from(stream).take_error() {
+            self.record_failure(error.kind());
+        }
+        self.responses.check_end(self.failure)
+    }
+
     /// Returns whether the first part of a response was read, but not the rest.
     pub(crate) fn is_within_response(&self) -> bool {
-        self.response.is_some()
+        self.responses.is_within_response()
     }
 
     /// Returns the number of bytes of the response's body that are missing, if it
     /// states its length.
     pub(crate) fn response_remaining(&self) -> Option<u64> {
-        self.response.as_ref()?.body.remaining()
+        self.responses.remaining()
     }
 
     /// Returns whether the idle connection is unusable: it received bytes that
@@ -233,7 +238,11 @@
 
     async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_CAPACITY_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        if let Err(error) = &read {
+            self.record_failure(error.kind());
+        }
+        read
     }
 
     fn decode_request(&mut self) -> Result<Option<Request>, ReadError> {
@@ -275,61 +284,6 @@
         }))
     }
 
-    /// Decodes the response as far as it was received; returns whether it is
-    /// complete.
-    fn decode_response(&mut self, method: &Method) -> Result<bool, ReadError> {
-        while self.response.is_none() {
-            let Some((length, head)) = head::parse_response(&self.buffer, method)? else {
-                self.check_head_size::<()>()?;
-                return Ok(false);
-            };
-            let _ = self.buffer.split_to(length);
-            if head.status.is_informational() {
-                self.informational += 1;
-                if self.informational > MAX_INFORMATIONAL_RESPONSES {
-                    return Err(ReadError::Malformed("sequence of informational responses"));
-                }
-                continue;
-            }
-            self.informational = 0;
-            let body = Decoder::new(head.framing, self.limits.body)?;
-            let head = Some(head);
-            self.response = Some(Incoming { head, body });
-        }
-        match &mut self.response {
-            Some(incoming) => incoming.body.decode(&mut self.buffer),
-            None => Ok(false),
-        }
-    }
-
-    /// Takes the head of the response and what is there of its body, if the
-    /// response is complete or `window` bytes of the body were read.
-    fn take_response(&mut self, complete: bool, window: usize) -> Option<Response> {
-        let incoming = self.response.as_mut()?;
-        if !complete && incoming.body.collected() < window {
-            return None;
-        }
-        let head = incoming.head.take()?;
-        let body = incoming.body.take();
-        if complete {
-            self.response = None;
-        }
-        Some(Response {
-            status: head.status,
-            headers: head.headers,
-            body,
-            rest: None,
-            keep_alive: head.keep_alive,
-            idle_timeout: head.idle_timeout,
-        })
-    }
-
-    /// Takes a response whose body ends with the connection.
-    fn close_response(&mut self) -> Option<Response> {
-        let ends = self.response.as_ref()?.body.ends_with_connection();
-        ends.then(|| self.take_response(true, 0))?
-    }
-
     fn check_head_size<T>(&self) -> Result<Option<T>, ReadError> {
         if self.buffer.len() > self.limits.head {
             return Err(ReadError::HeadTooLarge);
--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -3,5 +3,6 @@
 mod client;
 mod fixture;
 mod fuzz;
+mod responses;
 mod server;
 mod streaming;
--- /dev/null
+++ b/crates/http1/tests/all/responses.rs
@@ -0,0 +1,414 @@
+//! Responses that are not complete and well-formed. The cases are those of
+//! `docs/design/responses.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carobdrift_http1::{Connection, ExchangeError, ReadError, Response, encode_request};
+use http::{HeaderMap, Method};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+use crate::fixture::{Ending, connect, peer};
+
+/// Size of an upload that the socket buffers of loopback can't hold.
+const LONG_UPLOAD_BYTES: usize = 32 * 1024 * 1024;
+
+/// Sends a request with the given method and reads the response, at most for 5 s.
+async fn exchange(
+    method: &Method,
+    raw_response: &'static [u8],
+    ending: Ending,
+) -> (Result<Response, ExchangeError>, Connection) {
+    let address = peer(raw_response, ending).await;
+    let mut connection = connect(address).await;
+    let request = encode_request(method, "/", &HeaderMap::new(), &[]);
+    let mut sent = 0;
+    let read = connection.exchange(method, &request, &mut sent);
+    let response = tokio::time::timeout(Duration::from_secs(5), read).await;
+    let text = String::from_utf8_lossy(raw_response);
+    (
+        response.unwrap_or_else(|_| panic!("no end: {text:?}")),
+        connection,
+    )
+}
+
+/// Sends requests with the given method and returns the responses of the table that
+/// were accepted.
+async fn accepted(method: &Method, responses: &[&'static [u8]]) -> Vec<String> {
+    let mut accepted = Vec::new();
+    for raw_response in responses {
+        let (response, _) = exchange(method, raw_response, Ending::Close).await;
+        if let Ok(response) = response {
+            let text = String::from_utf8_lossy(raw_response);
+            accepted.push(format!("{text:?} as {response:?}"));
+        }
+    }
+    accepted
+}
+
+/// Starts a peer that reads a part of a request, responds without a length, and
+/// resets the connection 100 ms later, while the request is still being sent.
+async fn resetting_peer(raw_response: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut part = [0; 1024];
+        stream.read_exact(&mut part).await.unwrap();
+        stream.write_all(raw_response).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    });
+    address
+}
+
+fn upload() -> bytes::Bytes {
+    let body = vec![0; LONG_UPLOAD_BYTES];
+    encode_request(&Method::POST, "/", &HeaderMap::new(), &body).freeze()
+}
+
+/// Guards against a failed write that hides a reset before the first part of the
+/// body is complete: the part that arrived was taken for the whole body.
+#[tokio::test]
+async fn a_reset_during_an_upload_is_an_error_within_the_first_part() {
+    for round in 0..5 {
+        let address = resetting_peer(b"HTTP/1.1 200 OK\r\n\r\na part of it").await;
+        let mut connection = connect(address).await;
+        let mut sent = 0;
+
+        let response = connection
+            .start(&Method::POST, upload(), 64 * 1024, &mut sent)
+            .await;
+
+        assert!(response.is_err(), "round {round}: {response:?}");
+        assert!(sent < LONG_UPLOAD_BYTES);
+        assert!(!connection.is_reusable(Duration::ZERO));
+    }
+}
+
+/// Guards against a failed write that hides a reset after the first part of the body
+/// was returned: the part that arrived was taken for the whole body.
+#[tokio::test]
+async fn a_reset_during_an_upload_is_an_error_after_the_first_part() {
+    for round in 0..5 {
+        let address = resetting_peer(b"HTTP/1.1 200 OK\r\n\r\na part of it").await;
+        let mut connection = connect(address).await;
+        let mut sent = 0;
+        let response = connection
+            .start(&Method::POST, upload(), 4, &mut sent)
+            .await;
+        let response = response.unwrap();
+        assert_eq!(response.body, "a part of it");
+
+        let part = connection.next_part().await;
+
+        assert!(part.is_err(), "round {round}: {part:?}");
+        assert!(!connection.is_reusable(Duration::ZERO));
+    }
+}
+
+/// Guards against refusing a response whose stated length arrived completely
+/// although the peer then resets the connection during the upload.
+#[tokio::test]
+async fn a_reset_during_an_upload_leaves_a_stated_length_complete() {
+    let address = resetting_peer(b"HTTP/1.1 413 Large\r\ncontent-length: 2\r\n\r\nno").await;
+    let mut connection = connect(address).await;
+    let mut sent = 0;
+
+    let response = connection
+        .start(&Method::POST, upload(), 64 * 1024, &mut sent)
+        .await
+        .unwrap();
+
+    assert_eq!(
+        (response.status.as_u16(), &response.body[..]),
+        (413, &b"no"[..])
+    );
+    assert!(!connection.is_reusable(Duration::ZERO));
+}
+
+/// Guards against losing a response without a length that ends with an orderly close
+/// during the upload.
+#[tokio::test]
+async fn an_orderly_close_during_an_upload_ends_a_body_without_a_length() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut part = [0; 1024];
+        stream.read_exact(&mut part).await.unwrap();
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\n\r\nall of it")
+            .await
+            .unwrap();
+        stream.shutdown().await.unwrap();
+        tokio::time::sleep(Duration::from_secs(30)).await;
+    });
+    let mut connection = connect(address).await;
+    let mut sent = 0;
+
+    let response = connection
+        .start(&Method::POST, upload(), 64 * 1024, &mut sent)
+        .await;
+
+    assert_eq!(response.unwrap().body, "all of it");
+    assert!(!connection.is_reusable(Duration::ZERO));
+}
+
+/// Guards against passing on a status that callers can't interpret.
+#[tokio::test]
+async fn invalid_status_lines_are_refused() {
+    let responses: [&[u8]; 15] = [
+        b"HTTP/1.1 000 None\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 099 Low\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 600 High\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 999 High\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 20 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 2000 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 -20 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1  200 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1\t200 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.2 200 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/2.0 200 OK\r\ncontent-length: 0\r\n\r\n",
+        b"http/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        b"\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 200 O\x01K\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    ];
+
+    let accepted = accepted(&Method::GET, &responses).await;
+
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
+
+/// Guards against passing on a field line that is not valid, and against a body that
+/// begins elsewhere because such a line was skipped or taken for the end of the head.
+#[tokio::test]
+async fn invalid_field_lines_are_refused() {
+    let responses: [&[u8]; 16] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length : 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\n content-length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx\t: y\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx\x01y: z\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\nx: y\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx\x7f: y\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n: y\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx: y\r\n z\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx: y\0z\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx: y\rz\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx: y\r\rz: y\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx: y\nz: y\r\n\r\nok",
+        b"HTTP/1.1 200 OK\ncontent-length: 2\n\nok",
+        b"HTTP/1.1 103 Hints\r\nx y: z\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    ];
+
+    let accepted = accepted(&Method::GET, &responses).await;
+
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
+
+/// Guards against a byte that the parser accepts within the name of a field although
+/// it is not permitted there, at each place of names of different lengths.
+#[tokio::test]
+async fn names_with_bytes_that_are_not_permitted_are_refused() {
+    const PERMITTED: &[u8] = b"!#$%&'*+-.^_`|~:";
+    let is_permitted = |byte: u8| byte.is_ascii_alphanumeric() || PERMITTED.contains(&byte);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let names = ["x-name", "x-a-name-of-more-than-thirty-two-bytes-in-total"];
+    let cases: Vec<Vec<u8>> = (0..=u8::MAX)
+        .filter(|byte| !is_permitted(*byte))
+        .flat_map(|byte| {
+            names.into_iter().flat_map(move |name| {
+                [0, 1, name.len() / 2, name.len()]
+                    .into_iter()
+                    .map(move |place| {
+                        let mut name = name.as_bytes().to_vec();
+                        name.insert(place, byte);
+                        let mut response = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n".to_vec();
+                        response.extend_from_slice(&name);
+                        response.extend_from_slice(b": v\r\n\r\nok");
+                        response
+                    })
+            })
+        })
+        .collect();
+    let responses = cases.clone();
+    tokio::spawn(async move {
+        for response in responses {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; 64]).await;
+            let _ = stream.write_all(&response).await;
+        }
+    });
+    let mut accepted = Vec::new();
+
+    for case in cases {
+        let mut connection = connect(address).await;
+        let request = encode_request(&Method::GET, "/", &HeaderMap::new(), &[]);
+        let mut sent = 0;
+        let response = connection.exchange(&Method::GET, &request, &mut sent).await;
+        if let Ok(response) = response {
+            let text = String::from_utf8_lossy(&case);
+            accepted.push(format!("{text:?} as {response:?}"));
+        }
+    }
+
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
+
+/// Guards against a body that ends elsewhere for another recipient, because its
+/// framing is not stated once and clearly.
+#[tokio::test]
+async fn invalid_framing_is_refused() {
+    let responses: [&[u8]; 14] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 1\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2, 2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: +2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 0x2\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 18446744073709551618\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length:\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 204 No Content\r\ncontent-length: 0\r\ncontent-length: 2\r\n\r\n",
+    ];
+
+    let accepted_get = accepted(&Method::GET, &responses).await;
+    let conflicting: [&[u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n",
+    ];
+    let accepted_head = accepted(&Method::HEAD, &conflicting).await;
+
+    assert!(accepted_get.is_empty(), "{accepted_get:#?}");
+    assert!(accepted_head.is_empty(), "{accepted_head:#?}");
+}
+
+/// Guards against a chunk whose size or end is misread, and against a body that ends
+/// at a line that is not the last chunk.
+#[tokio::test]
+async fn invalid_chunks_are_refused() {
+    let responses: [&[u8]; 20] = [
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n;x=y\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n 2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2 \r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0x2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2g\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n10000000000000002\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nffffffffffffffff\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\rok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;x\ny\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;x\x01\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx y: z\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx: y\nz: y\r\n\r\n",
+    ];
+
+    let accepted = accepted(&Method::GET, &responses).await;
+
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
+
+/// Guards against informational responses that keep a request waiting for ever, or
+/// are taken for the final response.
+#[tokio::test]
+async fn informational_responses_without_a_final_one_are_refused() {
+    let endless = b"HTTP/1.1 102 Processing\r\n\r\n".repeat(1000).leak();
+    let responses: [&[u8]; 2] = [endless, b"HTTP/1.1 100 Continue\r\n\r\n"];
+
+    let accepted = accepted(&Method::GET, &responses).await;
+
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
+
+/// Guards against a head over the limit that is accepted because its end arrived with
+/// the bytes that exceed it.
+#[tokio::test]
+async fn heads_over_the_limit_are_refused() {
+    let field = |length: usize| {
+        let value = "v".repeat(length);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx: {value}\r\n\r\n");
+        &*head.into_bytes().leak()
+    };
+    let fields = "x: y\r\n".repeat(129);
+    let many = format!("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{fields}\r\n").leak();
+
+    let (large, _) = exchange(&Method::GET, field(64 * 1024), Ending::Keep).await;
+    let (many, _) = exchange(&Method::GET, many.as_bytes(), Ending::Keep).await;
+    let (fits, _) = exchange(&Method::GET, field(63 * 1024), Ending::Keep).await;
+
+    assert!(matches!(large.unwrap_err().cause, ReadError::HeadTooLarge));
+    assert!(matches!(many.unwrap_err().cause, ReadError::HeadTooLarge));
+    assert!(fits.is_ok());
+}
+
+/// Guards against bytes after a response that are read as the next one. The response
+/// itself is complete, so it is returned.
+#[tokio::test]
+async fn bytes_after_the_end_cost_the_connection() {
+    let responses: [(&Method, &[u8]); 5] = [
+        (
+            &Method::GET,
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
+        ),
+        (
+            &Method::GET,
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n\r\n",
+        ),
+        (
+            &Method::HEAD,
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        ),
+        (&Method::GET, b"HTTP/1.1 204 No Content\r\n\r\nok"),
+        (
+            &Method::GET,
+            b"HTTP/1.1 304 Not Modified\r\ncontent-length: 2\r\n\r\nok",
+        ),
+    ];
+    for (method, raw_response) in responses {
+        let text = String::from_utf8_lossy(raw_response);
+
+        let (response, mut connection) = exchange(method, raw_response, Ending::Keep).await;
+
+        assert!(response.is_ok(), "{text:?}: {response:?}");
+        assert!(!connection.is_reusable(Duration::ZERO), "{text:?}");
+    }
+}
+
+/// Guards against strictness that refuses what the protocol permits.
+#[tokio::test]
+async fn unusual_valid_responses_are_accepted() {
+    let responses: [(&[u8], &[u8]); 8] = [
+        (b"HTTP/1.1 200\r\ncontent-length: 2\r\n\r\nok", b"ok"),
+        (b"HTTP/1.0 200 OK\r\n\r\nok", b"ok"),
+        (b"HTTP/1.1 599 \xc3\xa9\r\ncontent-length:2\r\nx:\r\ny: \xff\t z \r\n\r\nok", b"ok"),
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", b"ok"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n0002;x=\"y\"\r\nok\r\n000\r\nt: v\r\n\r\n", b"ok"),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2 ; x\r\nok\r\nA\r\n0123456789\r\n0\r\n\r\n", b"ok0123456789"),
+        (b"HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n", b""),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", b""),
+    ];
+    for (raw_response, body) in responses {
+        let text = String::from_utf8_lossy(raw_response);
+
+        let (response, _) = exchange(&Method::GET, raw_response, Ending::Close).await;
+
+        assert_eq!(response.unwrap().body, body, "{text:?}");
+    }
+}
