serve: refuse responses that are not well-formed

Cause: hyper, which reads the responses of targets for carobdrift serve, accepts more than a strict reader: status codes up to 999, 101, LF as a line end (so a field line that begins with LF ended the head), repeated equal lengths, a length together with chunks, transfer codings other than chunked, and blanks after a chunk size.

An invalid byte is an error of the connection: the caller gets 502 or another target responds; after the head was passed on, the response breaks off.

A reset during an upload was refused before too, since serve refuses bodies without a length.

--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::checked::SharedCheck;
 use super::write_counter::{CountedStream, WriteCounter};
 use crate::upload::Upload;
 
@@ -34,6 +35,7 @@
 pub(crate) struct Connection {
     sender: SendRequest<Upload>,
     counter: WriteCounter,
+    check: SharedCheck,
     task: AbortHandle,
     /// End of the last exchange; `None` on a new connection.
     last_used: Option<Instant>,
@@ -61,10 +63,11 @@
         socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(TCP_KEEPALIVE_IDLE))?;
         socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         let counter = WriteCounter::default();
-        let io = TokioIo::new(CountedStream::new(stream, counter.clone()));
+        let check = SharedCheck::new(MAX_RESPONSE_HEADER_BYTES);
+        let stream = CountedStream::new(stream, counter.clone(), check.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_RESPONSE_HEADER_BYTES)
-            .handshake(io)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -75,6 +78,7 @@
         Ok(Self {
             sender,
             counter,
+            check,
             task: task.abort_handle(),
             last_used: None,
         })
@@ -85,10 +89,10 @@
         self.last_used
     }
 
-    /// Returns whether the connection is closed and cannot carry another
-    /// exchange.
+    /// Returns whether the connection is closed, or received bytes that belong to no
+    /// response, and cannot carry another exchange.
     pub(crate) fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        self.sender.is_closed() || self.check.has_surplus()
     }
 
     /// Waits until the connection can carry an exchange; returns false when the
@@ -128,6 +132,7 @@
         &mut self,
         request: Request<Upload>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Upload>>> {
+        self.connection.check.begin(request.method().clone());
         self.connection.sender.try_send_request(request).await
     }
 
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Pools of connections to targets.
 
+mod checked;
 mod connection;
 mod pool;
 mod write_counter;
--- a/crates/proxy/src/upstream/write_counter.rs
+++ b/crates/proxy/src/upstream/write_counter.rs
@@ -8,6 +8,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::checked::SharedCheck;
+
 /// Counter of the bytes that a connection hands to the kernel. Closing the
 /// counter stops all further writes, so that the count is then final and exact,
 /// even while another thread drives the connection.
@@ -51,16 +53,21 @@
     }
 }
 
-/// TCP stream whose writes are counted.
+/// TCP stream whose writes are counted and whose received bytes are checked.
 #[derive(Debug)]
 pub(crate) struct CountedStream {
     stream: TcpStream,
     counter: WriteCounter,
+    check: SharedCheck,
 }
 
 impl CountedStream {
-    pub(crate) fn new(stream: TcpStream, counter: WriteCounter) -> Self {
-        Self { stream, counter }
+    pub(crate) fn new(stream: TcpStream, counter: WriteCounter, check: SharedCheck) -> Self {
+        Self {
+            stream,
+            counter,
+            check,
+        }
     }
 }
 
@@ -70,7 +77,10 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let filled = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        let received = buffer.filled().get(filled..).unwrap_or_default();
+        Poll::Ready(self.check.receive(received))
     }
 }
 
--- a/crates/proxy/tests/all/main.rs
+++ b/crates/proxy/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod cancel;
 mod drain;
 mod fixture;
+mod invalid;
 mod keys;
 mod latency;
 mod limits;
