http1: compare mutated responses with a second reading

The fuzz test checked only that a body is no longer than its input, so a response with another body, or one that should be refused, passed. It now compares status, body and acceptance with a reading that shares no code with the reader, over 10 samples, with each response sent in two parts and each fifth connection reset after it.

--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -3,6 +3,8 @@
 mod client;
 mod fixture;
 mod fuzz;
+mod reference;
 mod responses;
 mod server;
 mod streaming;
+mod uploads;
