--- a/crates/measure/src/probe.rs
+++ b/crates/measure/src/probe.rs
@@ -1,21 +1,15 @@
 //! Probe of a target.
 
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
 
-use bytes::Bytes;
 use carobdrift_document::Measuring;
+use carobdrift_http1::{Connection, ExchangeError, OpenError, ReadError, encode_request};
 use carobdrift_units::Service;
 use http::header::{CONNECTION, HOST};
-use http::{HeaderMap, Request, Response};
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
+use http::{HeaderMap, Request, StatusCode};
 use serde::Deserialize;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
 use crate::permit::Permit;
@@ -48,7 +42,7 @@
     ConnectTimedOut,
     /// The connection failed, or the answer is malformed.
     #[error("connection broken or answer malformed: {0}")]
-    Broken(#[from] hyper::Error),
+    Broken(#[from] ExchangeError),
     /// The request is invalid; nothing was sent.
     #[error("invalid request: {0}")]
     Request(#[from] http::Error),
@@ -79,61 +73,77 @@
     before_send: impl FnOnce(),
 ) -> Result<Answer, Error> {
     let timeout = measuring.timeout_ms.duration();
-    let deadline = Instant::now() + timeout;
-    let request = Request::get(&measuring.path)
+    let (request, ()) = Request::get(&measuring.path)
         .header(HOST, service.as_str())
         .header(CONNECTION, "close")
         .header("carobdrift-deadline-ms", measuring.timeout_ms.0)
-        .body(Empty::<Bytes>::new())?;
-    let stream = timeout_at(deadline, TcpStream::connect(address))
+        .body(())?
+        .into_parts();
+    let path = request
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    let bytes = encode_request(&request.method, path, &request.headers, &[]).freeze();
+    // The part of a body that exceeds the limit is not read.
+    let mut connection = Connection::open(address, timeout, u64::MAX)
         .await
-        .map_err(|_| Error::ConnectTimedOut)?
-        .map_err(Error::Connect)?;
-    stream.set_nodelay(true).map_err(Error::Connect)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let mut connection = pin!(connection);
+        .map_err(|error| match error {
+            OpenError::Io(error) => Error::Connect(error),
+            OpenError::TimedOut => Error::ConnectTimedOut,
+        })?;
 
     let Some(_permit) = permit() else {
         return Err(Error::NotPermitted);
     };
     before_send();
-    let sent = Instant::now();
-    let deadline = sent + timeout;
-    // The request and the connection are polled in one task, so that only the
-    // write itself lies between the permission and the send.
+    let started_at = Instant::now();
+    let mut sent = 0;
+    // The request is written in this task, so that only the write itself lies between
+    // the permission and the send.
     let exchange = async {
-        let mut exchange = pin!(async {
-            let response = sender.send_request(request).await?;
-            let latency = sent.elapsed();
-            Ok(parse_answer(response, latency).await)
-        });
-        tokio::select! {
-            biased;
-            result = &mut exchange => return result,
-            _ = &mut connection => {}
-        }
-        exchange.await
+        let response = connection
+            .start(&request.method, bytes, 0, &mut sent)
+            .await?;
+        let latency = started_at.elapsed();
+        let mut body = response.body.to_vec();
+        let read = read_body(&mut connection, &mut body).await;
+        read.map_err(|cause| ExchangeError { sent, cause })?;
+        Ok(parse_answer(
+            response.status,
+            &response.headers,
+            &body,
+            latency,
+        ))
     };
-    timeout_at(deadline, exchange)
+    timeout_at(started_at + timeout, exchange)
         .await
         .map_err(|_| Error::TimedOut)?
 }
 
-async fn parse_answer(response: Response<Incoming>, latency: Duration) -> Answer {
-    let (head, body) = response.into_parts();
-    let body = Limited::new(body, BODY_LIMIT).collect().await;
-    let body = body
-        .ok()
-        .and_then(|body| serde_json::from_slice::<Body>(&body.to_bytes()).ok())
-        .unwrap_or_default();
-    let in_flight = header_text(&head.headers, "carobdrift-load")
+/// Reads the rest of a body, or of its first part if it exceeds [`BODY_LIMIT`].
+async fn read_body(connection: &mut Connection, body: &mut Vec<u8>) -> Result<(), ReadError> {
+    while body.len() <= BODY_LIMIT
+        && let Some(part) = connection.next_part().await?
+    {
+        body.extend_from_slice(&part);
+    }
+    Ok(())
+}
+
+fn parse_answer(status: StatusCode, headers: &HeaderMap, body: &[u8], latency: Duration) -> Answer {
+    let body = if body.len() <= BODY_LIMIT {
+        serde_json::from_slice::<Body>(body).unwrap_or_default()
+    } else {
+        Body::default()
+    };
+    let in_flight = header_text(headers, "carobdrift-load")
         .and_then(|load| load.split_once('/')?.0.trim().parse().ok());
-    let draining = header_text(&head.headers, "carobdrift-draining") == Some("1");
+    let draining = header_text(headers, "carobdrift-draining") == Some("1");
     Answer {
-        healthy: head.status.is_success(),
+        healthy: status.is_success(),
         in_flight: in_flight.or(body.in_flight),
         draining: draining || body.status.as_deref() == Some("draining"),
-        start: header_text(&head.headers, "carobdrift-start")
+        start: header_text(headers, "carobdrift-start")
             .map(str::to_owned)
             .or(body.start),
         latency,
--- a/crates/measure/tests/all/probe.rs
+++ b/crates/measure/tests/all/probe.rs
@@ -8,6 +8,8 @@
 use carobdrift_measure::Prober;
 use carobdrift_test_support::target::{Action, Faults, Load, Settings, StandIn};
 use carobdrift_wire::Sample;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -112,3 +114,39 @@
     assert_eq!(busy, 0);
     assert!(!target.arrivals().is_empty(), "a silent target is probed");
 }
+
+/// Guards against a target that counts as healthy although its answer is cut short or
+/// not well-formed. The cases are those of `docs/design/responses.md`.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_invalid_answer_is_reported_as_unhealthy_without_a_load() {
+    const RESPONSES: [&str; 5] = [
+        "HTTP/1.1 200 OK\r\ncarobdrift-load: 7/2\r\ncontent-length: 9\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\ncarobdrift-load: 7/2\r\ncontent-length: 0\r\n\nx: y\r\n\r\n",
+        "HTTP/1.1 600 High\r\ncarobdrift-load: 7/2\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncarobdrift-load: 7/2\r\ncontent-length: 0, 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncarobdrift-load: 7/2\r\ntransfer-encoding: chunked\r\n\r\n\r\n\r\n",
+    ];
+    let mut accepted = Vec::new();
+    for response in RESPONSES {
+        let platform = platform().await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let _ = stream.read(&mut [0; 1024]).await;
+                let _ = stream.write_all(response.as_bytes()).await;
+            }
+        });
+        let (_subjects, receiver) = subjects(vec![subject("sheets", 20, address)]);
+        let (sender, mut samples) = mpsc::channel(16);
+        let _prober = Prober::spawn(leases(0, platform.address()), receiver, sender, metrics());
+
+        let sample = next(&mut samples).await;
+
+        if (sample.in_flight, sample.healthy) != (None, false) {
+            accepted.push(format!("{response:?} as {sample:?}"));
+        }
+    }
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
