http1: pass no request on after its caller left, and count its age from its first byte

Cause: a request that was read went to the service without a look at the connection, so one whose caller had closed was passed on, and cancelled only by the next read. The loop polled the service before the connection, so a request that waited in the service could continue after a pause of the process although its caller had left meanwhile. With 16 requests in progress, the next one came from the buffer with the time of its decoding as its arrival, and was passed on after its caller had closed.

Change: before a request is passed on, the readiness and the socket are asked whether the peer closed or reset the connection, also behind unread bytes. Reads come before the service in each turn. `Request::received` is the time at which the first byte was read. The head time-out counts as before. What stays: the time between the arrival at the kernel and the read is not known, and while 16 requests are in progress a close behind unread bytes is not noticed.

--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -24,7 +24,7 @@
     pub keep_alive: bool,
     /// Whether the sender understands the chunked transfer coding.
     pub accepts_chunks: bool,
-    /// Time at which the head was completely read.
+    /// Time at which the first byte was read from the connection.
     pub received: Instant,
 }
 
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -4,10 +4,11 @@
 use std::mem::MaybeUninit;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http::Method;
 use socket2::SockRef;
 use thiserror::Error;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::Instant;
@@ -57,11 +58,15 @@
     stream: OwnedReadHalf,
     buffer: BytesMut,
     limits: Limits,
-    /// Arrival time of the first byte of the message that is being read.
+    /// Time at which the reader began to decode the message that is being read.
     started_at: Option<Instant>,
-    /// Head of the request that is being read, its body, and the time at which
-    /// the head was completely read.
-    request: Option<(RequestHead, Decoder, Instant)>,
+    /// Time at which the last bytes were read from the connection.
+    filled_at: Instant,
+    /// Time at which the first byte of the request that is being read was read from
+    /// the connection. Earlier than `started_at` if the request waited in the buffer.
+    arrived_at: Option<Instant>,
+    /// Head of the request that is being read, and its body.
+    request: Option<(RequestHead, Decoder)>,
     responses: ResponseDecoder,
     /// First failure of the connection, in either direction.
     failure: Option<io::ErrorKind>,
@@ -76,6 +81,8 @@
             buffer: BytesMut::new(),
             limits,
             started_at: None,
+            filled_at: Instant::now(),
+            arrived_at: None,
             request: None,
             responses: ResponseDecoder::new(limits),
             failure: None,
@@ -226,6 +233,22 @@
         }
     }
 
+    /// Returns whether the peer closed or reset the connection, also if unread bytes
+    /// precede the end. Does not block.
+    pub(crate) fn is_closed_by_peer(&self) -> bool {
+        let stream: &TcpStream = self.stream.as_ref();
+        let ready = stream.ready(Interest::READABLE).now_or_never();
+        if matches!(ready, Some(Ok(ready)) if ready.is_read_closed()) {
+            return true;
+        }
+        // The runtime may not know of the end yet. The socket states it if no unread
+        // bytes precede it.
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            Ok(count) => count == 0,
+        }
+    }
+
     /// Discards received bytes until the connection closes.
     pub async fn discard(&mut self) {
         loop {
@@ -239,8 +262,9 @@
     async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_CAPACITY_BYTES);
         let read = self.stream.read_buf(&mut self.buffer).await;
-        if let Err(error) = &read {
-            self.record_failure(error.kind());
+        match &read {
+            Ok(_) => self.filled_at = Instant::now(),
+            Err(error) => self.record_failure(error.kind()),
         }
         read
     }
@@ -254,6 +278,10 @@
             // framing.
             while self.buffer.starts_with(b"\r\n") {
                 let _ = self.buffer.split_to(2);
+                self.arrived_at = None;
+            }
+            if !self.buffer.is_empty() {
+                self.arrived_at.get_or_insert(self.filled_at);
             }
             let Some((length, head)) = head::parse_request(&self.buffer)? else {
                 return self.check_head_size();
@@ -263,17 +291,18 @@
             }
             let _ = self.buffer.split_to(length);
             let decoder = Decoder::new(head.framing, self.limits.body)?;
-            self.request = Some((head, decoder, Instant::now()));
+            self.request = Some((head, decoder));
         }
-        let Some((_, decoder, _)) = &mut self.request else {
+        let Some((_, decoder)) = &mut self.request else {
             return Ok(None);
         };
         if !decoder.decode(&mut self.buffer)? {
             return Ok(None);
         }
         self.started_at = None;
+        let received = self.arrived_at.take().unwrap_or(self.filled_at);
         let request = self.request.take();
-        Ok(request.map(|(head, mut decoder, received)| Request {
+        Ok(request.map(|(head, mut decoder)| Request {
             method: head.method,
             target: head.target,
             headers: head.headers,
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -185,14 +185,11 @@
         let write_deadline = output.as_ref().and_then(Output::deadline);
         tokio::select! {
             biased;
-            Some(answer) = pending.next(), if !pending.is_empty() => queue.push_back(answer),
-            written = advance(&mut output, writer), if output.is_some() => match written {
-                Ok(None) => {}
-                Ok(Some(Framing::Close)) => return true,
-                Ok(Some(_)) => idle_since = Instant::now(),
-                Err(()) => return false,
-            },
+            // First, so that the requests of a caller that left are cancelled before they
+            // continue, also after a pause of the process.
             read = read_request(reader, last), if reading || last => match read {
+                // The caller has disconnected while the request waited to be read.
+                Ok(Some(_)) if reader.is_closed_by_peer() => return false,
                 Ok(Some(request)) => {
                     last = stopping || !request.keep_alive;
                     let (method, accepts_chunks) = (request.method.clone(), request.accepts_chunks);
@@ -210,6 +207,13 @@
                     pending.push_back(pending_answer(call, Method::GET, true));
                 }
             },
+            Some(answer) = pending.next(), if !pending.is_empty() => queue.push_back(answer),
+            written = advance(&mut output, writer), if output.is_some() => match written {
+                Ok(None) => {}
+                Ok(Some(Framing::Close)) => return true,
+                Ok(Some(_)) => idle_since = Instant::now(),
+                Err(()) => return false,
+            },
             () = &mut stopped, if !last && !stopping => {
                 stopping = true;
                 last = !reader.is_within_message();
