--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -4,20 +4,19 @@
 use std::mem::MaybeUninit;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http::Method;
 use socket2::SockRef;
 use thiserror::Error;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::Instant;
 
 use crate::body::Decoder;
-use crate::head::{self, RequestHead, ResponseHead};
+use crate::head::{self, RequestHead};
 use crate::message::{Request, Response};
-
-/// Largest number of informational responses before a final one.
-const MAX_INFORMATIONAL_RESPONSES: usize = 16;
+use crate::response::ResponseDecoder;
 
 /// Free capacity of the buffer before each read, in bytes.
 const READ_CAPACITY_BYTES: usize = 8 * 1024;
@@ -59,22 +58,18 @@
     stream: OwnedReadHalf,
     buffer: BytesMut,
     limits: Limits,
-    /// Arrival time of the first byte of the message that is being read.
+    /// Time at which the reader began to decode the message that is being read.
     started_at: Option<Instant>,
-    /// Head of the request that is being read, its body, and the time at which
-    /// the head was completely read.
-    request: Option<(RequestHead, Decoder, Instant)>,
-    response: Option<Incoming>,
-    /// Informational responses since the last final one.
-    informational: usize,
-}
-
-/// Response that is being read.
-#[derive(Debug)]
-struct Incoming {
-    /// Head, until it is returned with the first part of the body.
-    head: Option<ResponseHead>,
-    body: Decoder,
+    /// Time at which the last bytes were read from the connection.
+    filled_at: Instant,
+    /// Time at which the first byte of the request that is being read was read from
+    /// the connection. Earlier than `started_at` if the request waited in the buffer.
+    arrived_at: Option<Instant>,
+    /// Head of the request that is being read, and its body.
+    request: Option<(RequestHead, Decoder)>,
+    responses: ResponseDecoder,
+    /// First failure of the connection, in either direction.
+    failure: Option<io::ErrorKind>,
 }
 
 impl Reader {
@@ -86,9 +81,11 @@
             buffer: BytesMut::new(),
             limits,
             started_at: None,
+            filled_at: Instant::now(),
+            arrived_at: None,
             request: None,
-            response: None,
-            informational: 0,
+            responses: ResponseDecoder::new(limits),
+            failure: None,
         }
     }
 
@@ -96,12 +93,13 @@
     /// been read yet.
     pub fn set_limits(&mut self, limits: Limits) {
         self.limits = limits;
+        self.responses.set_limits(limits);
     }
 
     /// Returns whether a part of a message has been read.
     #[must_use]
     pub fn is_within_message(&self) -> bool {
-        !self.buffer.is_empty() || self.request.is_some() || self.response.is_some()
+        !self.buffer.is_empty() || self.request.is_some() || self.is_within_response()
     }
 
     /// Returns the arrival time of the first byte of the message that is being
@@ -155,12 +153,13 @@
         window: usize,
     ) -> Result<Response, ReadError> {
         loop {
-            let complete = self.decode_response(method)?;
-            if let Some(response) = self.take_response(complete, window) {
+            let complete = self.responses.decode(&mut self.buffer, method)?;
+            if let Some(response) = self.responses.take(complete, window) {
                 return Ok(response);
             }
             if self.fill().await? == 0 {
-                return self.close_response().ok_or(ReadError::Truncated);
+                self.check_end()?;
+                return self.responses.take(true, 0).ok_or(ReadError::Truncated);
             }
         }
     }
@@ -174,35 +173,48 @@
     /// bytes are not a valid body.
     pub(crate) async fn response_part(&mut self) -> Result<Option<Bytes>, ReadError> {
         loop {
-            let Some(incoming) = &mut self.response else {
-                return Ok(None);
-            };
-            let complete = incoming.body.decode(&mut self.buffer)?;
-            let part = incoming.body.take();
-            if complete {
-                self.response = None;
-            }
+            let (part, complete) = self.responses.decode_part(&mut self.buffer)?;
             if complete || !part.is_empty() {
                 return Ok((!part.is_empty()).then_some(part));
             }
             if self.fill().await? == 0 {
-                return match self.response.take() {
-                    Some(incoming) if incoming.body.ends_with_connection() => Ok(None),
-                    _ => Err(ReadError::Truncated),
-                };
+                self.check_end()?;
+                self.responses.end();
+                return Ok(None);
             }
         }
     }
 
+    /// Records that a write to the connection failed. The connection is broken then,
+    /// although what arrived before can still be read.
+    pub(crate) fn record_failure(&mut self, failure: io::ErrorKind) {
+        self.failure.get_or_insert(failure);
+    }
+
+    /// Returns whether the connection failed, in either direction.
+    pub(crate) fn has_failed(&self) -> bool {
+        self.failure.is_some()
+    }
+
+    /// Decides on the response at the end of the stream.
+    fn check_end(&mut self) -> Result<(), ReadError> {
+        // A reset after an orderly close is an error of the socket that no read reports.
+        let stream: &TcpStream = self.stream.as_ref();
+        if let Ok(Some(error)) = SockRef::from(stream).take_error() {
+            self.record_failure(error.kind());
+        }
+        self.responses.check_end(self.failure)
+    }
+
     /// Returns whether the first part of a response was read, but not the rest.
     pub(crate) fn is_within_response(&self) -> bool {
-        self.response.is_some()
+        self.responses.is_within_response()
     }
 
     /// Returns the number of bytes of the response's body that are missing, if it
     /// states its length.
     pub(crate) fn response_remaining(&self) -> Option<u64> {
-        self.response.as_ref()?.body.remaining()
+        self.responses.remaining()
     }
 
     /// Returns whether the idle connection is unusable: it received bytes that
@@ -221,6 +233,22 @@
         }
     }
 
+    /// Returns whether the peer closed or reset the connection, also if unread bytes
+    /// precede the end. Does not block.
+    pub(crate) fn is_closed_by_peer(&self) -> bool {
+        let stream: &TcpStream = self.stream.as_ref();
+        let ready = stream.ready(Interest::READABLE).now_or_never();
+        if matches!(ready, Some(Ok(ready)) if ready.is_read_closed()) {
+            return true;
+        }
+        // The runtime may not know of the end yet. The socket states it if no unread
+        // bytes precede it.
+        match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            Ok(count) => count == 0,
+        }
+    }
+
     /// Discards received bytes until the connection closes.
     pub async fn discard(&mut self) {
         loop {
@@ -233,7 +261,12 @@
 
     async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_CAPACITY_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        let read = self.stream.read_buf(&mut self.buffer).await;
+        match &read {
+            Ok(_) => self.filled_at = Instant::now(),
+            Err(error) => self.record_failure(error.kind()),
+        }
+        read
     }
 
     fn decode_request(&mut self) -> Result<Option<Request>, ReadError> {
@@ -245,6 +278,10 @@
             // framing.
             while self.buffer.starts_with(b"\r\n") {
                 let _ = self.buffer.split_to(2);
+                self.arrived_at = None;
+            }
+            if !self.buffer.is_empty() {
+                self.arrived_at.get_or_insert(self.filled_at);
             }
             let Some((length, head)) = head::parse_request(&self.buffer)? else {
                 return self.check_head_size();
@@ -254,17 +291,18 @@
             }
             let _ = self.buffer.split_to(length);
             let decoder = Decoder::new(head.framing, self.limits.body)?;
-            self.request = Some((head, decoder, Instant::now()));
+            self.request = Some((head, decoder));
         }
-        let Some((_, decoder, _)) = &mut self.request else {
+        let Some((_, decoder)) = &mut self.request else {
             return Ok(None);
         };
         if !decoder.decode(&mut self.buffer)? {
             return Ok(None);
         }
         self.started_at = None;
+        let received = self.arrived_at.take().unwrap_or(self.filled_at);
         let request = self.request.take();
-        Ok(request.map(|(head, mut decoder, received)| Request {
+        Ok(request.map(|(head, mut decoder)| Request {
             method: head.method,
             target: head.target,
             headers: head.headers,
@@ -275,61 +313,6 @@
         }))
     }
 
-    /// Decodes the response as far as it was received; returns whether it is
-    /// complete.
-    fn decode_response(&mut self, method: &Method) -> Result<bool, ReadError> {
-        while self.response.is_none() {
-            let Some((length, head)) = head::parse_response(&self.buffer, method)? else {
-                self.check_head_size::<()>()?;
-                return Ok(false);
-            };
-            let _ = self.buffer.split_to(length);
-            if head.status.is_informational() {
-                self.informational += 1;
-                if self.informational > MAX_INFORMATIONAL_RESPONSES {
-                    return Err(ReadError::Malformed("sequence of informational responses"));
-                }
-                continue;
-            }
-            self.informational = 0;
-            let body = Decoder::new(head.framing, self.limits.body)?;
-            let head = Some(head);
-            self.response = Some(Incoming { head, body });
-        }
-        match &mut self.response {
-            Some(incoming) => incoming.body.decode(&mut self.buffer),
-            None => Ok(false),
-        }
-    }
-
-    /// Takes the head of the response and what is there of its body, if the
-    /// response is complete or `window` bytes of the body were read.
-    fn take_response(&mut self, complete: bool, window: usize) -> Option<Response> {
-        let incoming = self.response.as_mut()?;
-        if !complete && incoming.body.collected() < window {
-            return None;
-        }
-        let head = incoming.head.take()?;
-        let body = incoming.body.take();
-        if complete {
-            self.response = None;
-        }
-        Some(Response {
-            status: head.status,
-            headers: head.headers,
-            body,
-            rest: None,
-            keep_alive: head.keep_alive,
-            idle_timeout: head.idle_timeout,
-        })
-    }
-
-    /// Takes a response whose body ends with the connection.
-    fn close_response(&mut self) -> Option<Response> {
-        let ends = self.response.as_ref()?.body.ends_with_connection();
-        ends.then(|| self.take_response(true, 0))?
-    }
-
     fn check_head_size<T>(&self) -> Result<Option<T>, ReadError> {
         if self.buffer.len() > self.limits.head {
             return Err(ReadError::HeadTooLarge);
--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -1,7 +1,11 @@
 //! Tests of HTTP/1.1 connections.
 
+mod callers;
 mod client;
 mod fixture;
 mod fuzz;
+mod reference;
+mod responses;
 mod server;
 mod streaming;
+mod uploads;
