--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -7,11 +7,14 @@
 mod name;
 mod number;
 mod rendezvous;
+mod revision;
 mod secret;
 
 pub use name::{Cell, Class, EditId, Instance, NameError, Region, Service, Target, Team, Zone};
 pub use number::{
-    BitRate, ByteSize, Incarnation, Millis, ParseError, PerSecond, Percent, Rate, Revision, Version,
+    BitRate, ByteSize, Era, Incarnation, Millis, ParseError, PerSecond, Percent, Rate, Revision,
+    Version,
 };
 pub use rendezvous::rank;
+pub use revision::{ParseRevisionError, StoreRevision};
 pub use secret::Secret;
--- a/crates/units/src/number.rs
+++ b/crates/units/src/number.rs
@@ -65,6 +65,10 @@
     /// processes that use the same instance id.
     Incarnation
 );
+counter!(
+    /// Number of the platform store's return from an older copy; 0 if it states none.
+    Era
+);
 counter!(
     /// A duration in milliseconds.
     Millis
--- a/crates/units/tests/all/main.rs
+++ b/crates/units/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod name;
 mod number;
 mod rendezvous;
+mod revision;
