Order the store's changes by its era first

After the return of the store from an older copy versions are assigned again. Entries ordered registrations by the version only: they ignored changes with a lower version than the lost ones, kept removed targets, and missed what was written below the position of their feed. Registered entries did not register again.

Registrations, evacuations, the replica, deltas, digests and fetches carry StoreRevision. A reader that sees another era in a response reads everything again and announces the era; the others fetch all targets, and abandon feeds of the older era. Data of an older era is not accepted. Targets that the copy lacks are kept for the time to register again, by each entry, so that a lost datagram does not keep them for ever; evacuations that it lacks stay in force for as long. Registrations that a new era only confirms are not sent to others. Registered entries register again.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -1,6 +1,7 @@
 //! Tasks that keep an entry's data current from the store and from other
 //! entries.
 
+use std::collections::HashSet;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 };
 use carobdrift_platform::Cause;
 use carobdrift_routing::{Difference, Mismatch, State};
-use carobdrift_units::{Version, Zone};
+use carobdrift_units::{StoreRevision, Version, Zone};
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::Instant;
 
@@ -84,7 +85,7 @@
 async fn join(shared: Arc<Shared>, peers: Peers) {
     peers.add_candidates(shared.settings.seeds.iter().copied());
     tokio::time::sleep_until(shared.start.joined_at()).await;
-    let mut registered = false;
+    let mut registered = None;
     let mut searched = false;
     loop {
         let is_isolated = position(&shared, &peers, Instant::now()).is_isolated();
@@ -101,15 +102,24 @@
                 Err(error) => log::warn!(target: "store", "event=search-failed error=\"{error}\""),
             }
         }
-        if !registered && peers.is_hub() {
+        let era = shared.eras.newest();
+        let is_due = registered.is_some() || peers.is_hub();
+        if is_due && registered < Some(era) {
             match shared.store.register(shared.settings.peer.ip()).await {
-                Ok(()) => registered = true,
+                Ok(era) => {
+                    shared.eras.observe(era, "store");
+                    registered = Some(era);
+                }
                 Err(error) => {
                     log::warn!(target: "store", "event=register-failed error=\"{error}\"");
                 }
             }
         }
-        tokio::time::sleep(REGISTER_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(REGISTER_INTERVAL) => {}
+            // A return from an older copy loses registrations.
+            () = shared.eras.wait_for_newer(era), if registered.is_some() => {}
+        }
     }
 }
 
@@ -127,9 +137,9 @@
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
-        let result = match after {
-            None => shared.store.read(subject).await,
-            Some(after) => shared.store.watch(subject, after, WATCH_TIMEOUT).await,
+        let Some(result) = call_store(&shared, subject, after).await else {
+            after = None;
+            continue;
         };
         match result {
             Ok(batch) => {
@@ -139,8 +149,21 @@
                 }
                 retry_delay = MIN_RETRY_DELAY;
                 shared.record_store_response(subject, Instant::now());
-                let is_full = after.is_none();
-                after = Some(batch.revision);
+                let era = batch.revision.era;
+                shared.eras.observe(era, "store");
+                let previous = after.replace(batch.revision);
+                if previous.is_some_and(|previous| previous.era != era) {
+                    // Changes below the previous position are missing.
+                    after = None;
+                    continue;
+                }
+                if era < shared.eras.newest() {
+                    // Sent before the store returned from an older copy.
+                    after = None;
+                    tokio::time::sleep(CHANGE_BATCH_DELAY).await;
+                    continue;
+                }
+                let is_full = previous.is_none();
                 let changed = apply_batch(&shared, &peers, subject, batch, is_full).await;
                 if is_full {
                     // After a loss of all entries many read, and few go on.
@@ -175,6 +198,22 @@
     }
 }
 
+/// Reads a subject, or waits for changes after a revision. Returns `None` if the revision
+/// turns out to be of an older era of the store meanwhile.
+async fn call_store(
+    shared: &Shared,
+    subject: Subject,
+    after: Option<StoreRevision>,
+) -> Option<Result<Batch, Cause>> {
+    let Some(after) = after else {
+        return Some(shared.store.read(subject).await);
+    };
+    tokio::select! {
+        result = shared.store.watch(subject, after, WATCH_TIMEOUT) => Some(result),
+        () = shared.eras.wait_for_newer(after.era) => None,
+    }
+}
+
 /// Returns whether this entry should read the store.
 fn should_read(shared: &Shared, peers: &Peers, subject: Subject) -> bool {
     let now = Instant::now();
@@ -225,34 +264,37 @@
     }
     observe_store_age(shared, now);
     let revision = batch.revision;
-    let (is_first, delta) = {
+    let (is_first, is_new_era, delta) = {
         let mut replica = shared.replica();
         let is_first = !replica.is_complete();
-        let after = replica.revision();
+        let mut after = replica.revision();
         let changed = if is_full {
             replica.replace(batch.records, revision, now)
         } else {
             replica.apply_changes(batch.records, now)
         };
         let revision = replica.revision();
+        let is_new_era = after.era < revision.era;
+        if is_new_era {
+            // Others may lack what this entry knew before, and must fetch all targets.
+            after = revision;
+        }
         let delta = Delta {
             after,
             revision,
             rows: changed,
         };
-        (is_first, delta)
+        (is_first, is_new_era, delta)
     };
     apply_rows(shared, &delta.rows, "store");
-    if delta.rows.is_empty() {
-        return false;
-    }
     // The first full read of an entry holds no changes for the others.
-    if is_first {
-        peers.announce().await;
-    } else {
+    if !is_first {
         peers.publish(&delta).await;
     }
-    true
+    if is_first || is_new_era {
+        peers.announce().await;
+    }
+    is_new_era || !delta.rows.is_empty()
 }
 
 /// Applies and publishes held removals once they are due.
@@ -262,6 +304,7 @@
         interval.tick().await;
         let now = Instant::now();
         observe_store_age(&shared, now);
+        apply_due_ends(&shared, &peers, now).await;
         let (revision, changed) = {
             let mut replica = shared.replica();
             (replica.revision(), replica.apply_due_removals(now))
@@ -308,6 +351,7 @@
                 if apply_evacuations(&shared, evacuations, None, "peer") {
                     peers.announce().await;
                 }
+                shared.eras.observe(watermark.targets.era, "peer");
                 if watermark.store_age_ms < u32::MAX {
                     let store_age = Duration::from_millis(watermark.store_age_ms.into());
                     shared.record_peer_store_age(store_age);
@@ -405,8 +449,13 @@
 }
 
 /// Fetches the targets until this entry has a revision at least as new as `wanted`.
-async fn catch_up_targets(shared: &Shared, peers: &Peers, from: IpAddr, wanted: u64) {
-    if shared.replica().is_complete() {
+async fn catch_up_targets(shared: &Shared, peers: &Peers, from: IpAddr, wanted: StoreRevision) {
+    let (is_complete, known) = {
+        let replica = shared.replica();
+        (replica.is_complete(), replica.revision())
+    };
+    // Datagrams never complete the first changes of an era.
+    if is_complete && known.era == wanted.era {
         tokio::time::sleep(FETCH_DELAY).await;
     }
     let mut sources = Sources::new(from);
@@ -460,13 +509,13 @@
 fn apply_evacuations(
     shared: &Shared,
     reported: Vec<Evacuation>,
-    full_revision: Option<u64>,
+    full_revision: Option<StoreRevision>,
     source: &str,
 ) -> bool {
     let zones = {
         let mut evacuations = shared.evacuations();
         let changed = match full_revision {
-            Some(revision) => evacuations.replace(reported, revision),
+            Some(revision) => evacuations.replace(reported, revision, Instant::now()),
             None => evacuations.apply(reported),
         };
         if !changed {
@@ -474,6 +523,25 @@
         }
         evacuations.active()
     };
+    put_evacuated(shared, zones, source);
+    true
+}
+
+/// Ends the evacuations that a newer era of the store lacks and that were not written
+/// again in time.
+async fn apply_due_ends(shared: &Shared, peers: &Peers, now: Instant) {
+    let zones = {
+        let mut evacuations = shared.evacuations();
+        if !evacuations.apply_due_ends(now) {
+            return;
+        }
+        evacuations.active()
+    };
+    put_evacuated(shared, zones, "held");
+    peers.announce().await;
+}
+
+fn put_evacuated(shared: &Shared, zones: HashSet<Zone>, source: &str) {
     let mut names: Vec<&str> = zones.iter().map(Zone::as_str).collect();
     names.sort_unstable();
     log::info!(
@@ -482,7 +550,6 @@
         names.join(",")
     );
     shared.gateway.set_evacuated(zones);
-    true
 }
 
 fn apply_rows(shared: &Shared, changed: &[Row], source: &str) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! gateway, and tells callers which entries to use.
 
 mod directory;
+mod era;
 mod evacuation;
 mod exporter;
 mod follower;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,7 @@
 use carobdrift_gateway::{Dialect, Gateway, Listener, Metrics, Suspension};
 use carobdrift_peers::{Data, Heartbeat, Peers, Phase, StoreHealth, Targets, Update, Watermark};
 use carobdrift_routing::{Difference, History, State};
-use carobdrift_units::{Version, Zone};
+use carobdrift_units::{StoreRevision, Version, Zone};
 use prometheus::Registry;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -18,6 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::directory::{self, Candidate};
+use crate::era::Eras;
 use crate::evacuation::Evacuations;
 use crate::exporter::Exporter;
 use crate::follower;
@@ -74,6 +75,7 @@
     pub(crate) start: Start,
     replica: Mutex<Replica>,
     evacuations: Mutex<Evacuations>,
+    pub(crate) eras: Eras,
     /// Status of the store for the desired state and the targets.
     store_status: Mutex<StoreStatus>,
     /// Start of the process in Unix milliseconds.
@@ -163,6 +165,7 @@
             store,
             replica: Mutex::default(),
             evacuations: Mutex::default(),
+            eras: Eras::default(),
             store_status: Mutex::default(),
             started_ms: unix_ms(),
             rate: AtomicU32::new(0),
@@ -409,7 +412,7 @@
 
     /// Returns the targets if this entry has all of them and they are newer than a
     /// store revision.
-    fn targets_since(&self, revision: Option<u64>) -> Option<Targets> {
+    fn targets_since(&self, revision: Option<StoreRevision>) -> Option<Targets> {
         let replica = self.replica();
         let newest = replica.revision();
         (replica.is_complete() && revision < Some(newest)).then(|| Targets {
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use carobdrift_peers::Row;
-use carobdrift_units::Target;
+use carobdrift_units::{Era, StoreRevision, Target};
 use tokio::time::Instant;
 
 use crate::store::{Item, Record};
@@ -23,19 +23,21 @@
 
 /// Replica of the registered targets as of a store revision. Registrations are
 /// ordered by the store revision that wrote them, so they may arrive in any
-/// order, from the store and from other entries.
+/// order, from the store and from other entries. Once registrations of a newer era of
+/// the store are complete, those of older eras are not accepted any more; known ones
+/// that the newer era lacks are kept for the time to register again.
 #[derive(Debug, Default)]
 pub struct Replica {
     rows: HashMap<Target, Row>,
     /// Store revisions that removed targets.
-    removed_revisions: HashMap<Target, u64>,
+    removed_revisions: HashMap<Target, StoreRevision>,
     /// Revision of the newest change up to which no change is missing.
-    revision: u64,
+    revision: StoreRevision,
     /// Whether all targets were read once.
     complete: bool,
     /// Removals that were made during or shortly after an outage of the store,
     /// with their store revisions and the times at which they are due.
-    held_removals: HashMap<Target, (u64, Instant)>,
+    held_removals: HashMap<Target, (StoreRevision, Instant)>,
     store_down: bool,
     store_recovered: Option<Instant>,
 }
@@ -51,7 +53,7 @@
     /// Returns the revision of the newest change up to which no change is
     /// missing.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -74,16 +76,26 @@
     /// Applies changes that were read from the store. Returns the registrations
     /// that changed here.
     pub fn apply_changes(&mut self, records: Vec<Record>, now: Instant) -> Vec<Row> {
-        let rows: Vec<Row> = records.into_iter().filter_map(into_row).collect();
+        let mut rows: Vec<Row> = records.into_iter().filter_map(into_row).collect();
+        rows.retain(|row| row.revision.era >= self.revision.era);
         self.advance_revision(&rows);
         rows.into_iter()
             .filter_map(|row| self.apply(row, true, now))
             .collect()
     }
 
-    /// Applies a full read of the store; targets that it lacks are removed.
-    /// Returns the registrations that changed here.
-    pub fn replace(&mut self, records: Vec<Record>, revision: u64, now: Instant) -> Vec<Row> {
+    /// Applies a full read of the store, unless it is of an older era; targets that it
+    /// lacks are removed. Returns the registrations that changed here.
+    pub fn replace(
+        &mut self,
+        records: Vec<Record>,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> Vec<Row> {
+        if revision.era < self.revision.era {
+            return Vec::new();
+        }
+        self.begin_era(revision.era, now);
         let rows: Vec<Row> = records.into_iter().filter_map(into_row).collect();
         let all = self.with_removals(rows, revision);
         self.advance_revision(&all);
@@ -97,16 +109,17 @@
     /// another entry published. Returns the registrations that changed here.
     pub fn apply_delta(
         &mut self,
-        rows: Vec<Row>,
-        after: u64,
-        revision: u64,
+        mut rows: Vec<Row>,
+        after: StoreRevision,
+        revision: StoreRevision,
         now: Instant,
     ) -> Vec<Row> {
+        rows.retain(|row| row.revision.era >= self.revision.era);
         let changed = rows
             .into_iter()
             .filter_map(|row| self.apply(row, false, now))
             .collect();
-        if after <= self.revision {
+        if after <= self.revision && revision.era == self.revision.era {
             self.revision = self.revision.max(revision);
         }
         changed
@@ -114,16 +127,35 @@
 
     /// Applies all targets of another entry as of a revision, unless this
     /// replica is as recent. Returns the registrations that changed here.
-    pub fn apply_snapshot(&mut self, rows: Vec<Row>, revision: u64, now: Instant) -> Vec<Row> {
+    pub fn apply_snapshot(
+        &mut self,
+        rows: Vec<Row>,
+        revision: StoreRevision,
+        now: Instant,
+    ) -> Vec<Row> {
         if self.complete && revision <= self.revision {
             return Vec::new();
         }
+        let is_new_era = self.begin_era(revision.era, now);
+        // The other entry keeps these until their targets had time to register again.
+        let unconfirmed: Vec<Target> = rows
+            .iter()
+            .filter(|row| row.revision.era < revision.era)
+            .map(|row| row.target.clone())
+            .collect();
         let all = self.with_removals(rows, revision);
         self.revision = revision;
         self.complete = true;
-        all.into_iter()
-            .filter_map(|row| self.apply(row, false, now))
-            .collect()
+        let changed = all
+            .into_iter()
+            .filter_map(|row| self.apply(row, is_new_era, now))
+            .collect();
+        let until = now + REREGISTRATION_GRACE;
+        let held = unconfirmed
+            .into_iter()
+            .map(|target| (target, (revision, until)));
+        self.held_removals.extend(held);
+        changed
     }
 
     /// Applies the held removals that are due. Returns them.
@@ -148,7 +180,7 @@
     }
 
     /// Adds a removal for each known target that a full read lacks.
-    fn with_removals(&self, mut rows: Vec<Row>, revision: u64) -> Vec<Row> {
+    fn with_removals(&self, mut rows: Vec<Row>, revision: StoreRevision) -> Vec<Row> {
         let present: HashSet<&Target> = rows.iter().map(|row| &row.target).collect();
         let missing: Vec<Row> = self
             .rows
@@ -164,8 +196,25 @@
         rows
     }
 
+    /// Begins an era of the store if it is newer. A return from an older copy is like
+    /// the end of an outage: targets that the copy lacks need time to register again.
+    /// Returns whether an era began while the targets were known.
+    fn begin_era(&mut self, era: Era, now: Instant) -> bool {
+        if era <= self.revision.era {
+            return false;
+        }
+        self.revision = StoreRevision::start_of(era);
+        if self.complete {
+            self.store_recovered = Some(now);
+        }
+        self.complete
+    }
+
     fn advance_revision(&mut self, rows: &[Row]) {
-        let newest = rows.iter().map(|row| row.revision).max();
+        let rows = rows.iter().map(|row| row.revision);
+        let newest = rows
+            .filter(|revision| revision.era == self.revision.era)
+            .max();
         self.revision = self.revision.max(newest.unwrap_or_default());
     }
 
@@ -173,7 +222,12 @@
     /// the store during or shortly after an outage is held until the target had
     /// time to register again.
     fn apply(&mut self, row: Row, from_store: bool, now: Instant) -> Option<Row> {
-        let known = self.rows.get(&row.target).map(|known| known.revision);
+        let known_row = self.rows.get(&row.target);
+        let known = known_row.map(|known| known.revision);
+        // The first full read of an era confirms most registrations.
+        let is_confirmed = known_row.is_some_and(|known| {
+            known.revision.era < row.revision.era && known.endpoint == row.endpoint
+        });
         let removed = self.removed_revisions.get(&row.target).copied();
         if known.max(removed) >= Some(row.revision) {
             return None;
@@ -182,7 +236,7 @@
             self.held_removals.remove(&row.target);
             self.removed_revisions.remove(&row.target);
             self.rows.insert(row.target.clone(), row.clone());
-            return Some(row);
+            return (!is_confirmed).then_some(row);
         }
         if from_store && let Some(until) = self.hold_until(now) {
             if known.is_some() {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -8,7 +8,7 @@
 use carobdrift_placement::Endpoint;
 use carobdrift_platform::CallFuture;
 use carobdrift_routing::State;
-use carobdrift_units::Target;
+use carobdrift_units::{Era, StoreRevision, Target};
 
 /// Platform store as an entry uses it.
 pub trait Store: fmt::Debug + Send + Sync {
@@ -16,11 +16,13 @@
     fn read(&self, subject: Subject) -> CallFuture<Batch>;
 
     /// Waits for changes of a subject after a revision, for at most `wait`, and
-    /// returns them; the batch is empty if there were none.
-    fn watch(&self, subject: Subject, after: u64, wait: Duration) -> CallFuture<Batch>;
+    /// returns them; the batch is empty if there were none. A batch of a newer era than
+    /// `after` lacks changes.
+    fn watch(&self, subject: Subject, after: StoreRevision, wait: Duration) -> CallFuture<Batch>;
 
-    /// Registers the address of an entry, so that other entries find it.
-    fn register(&self, entry: IpAddr) -> CallFuture<()>;
+    /// Registers the address of an entry, so that other entries find it. Returns the era
+    /// of the store that has the registration.
+    fn register(&self, entry: IpAddr) -> CallFuture<Era>;
 }
 
 /// Kind of records in the store.
@@ -38,7 +40,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Batch {
     /// Store revision up to which the batch is complete.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Records of the batch.
     pub records: Vec<Record>,
 }
@@ -47,7 +49,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Record {
     /// Store revision that wrote the record.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Content of the record.
     pub item: Item,
 }
--- a/crates/node/tests/all/replica.rs
+++ b/crates/node/tests/all/replica.rs
@@ -5,9 +5,18 @@
 use carobdrift_node::{Item, Record, Replica};
 use carobdrift_peers::Row;
 use carobdrift_placement::{Endpoint, Lifecycle};
+use carobdrift_units::{Era, StoreRevision};
 use tokio::time::Instant;
 
-fn endpoint(id: &str) -> Endpoint {
+/// Returns a revision of the first era.
+pub(crate) fn at(version: u64) -> StoreRevision {
+    StoreRevision {
+        era: Era(1),
+        version,
+    }
+}
+
+pub(crate) fn endpoint(id: &str) -> Endpoint {
     Endpoint {
         id: id.parse().unwrap(),
         started_ms: 1,
@@ -20,21 +29,21 @@
     }
 }
 
-fn registered(id: &str, revision: u64) -> Record {
+pub(crate) fn registered(id: &str, revision: StoreRevision) -> Record {
     Record {
         revision,
         item: Item::Target(endpoint(id)),
     }
 }
 
-fn removed(id: &str, revision: u64) -> Record {
+pub(crate) fn removed(id: &str, revision: StoreRevision) -> Record {
     Record {
         revision,
         item: Item::Removed(id.parse().unwrap()),
     }
 }
 
-fn row(id: &str, revision: u64, present: bool) -> Row {
+pub(crate) fn row(id: &str, revision: StoreRevision, present: bool) -> Row {
     Row {
         revision,
         target: id.parse().unwrap(),
@@ -42,16 +51,20 @@
     }
 }
 
-fn names(rows: &[Row]) -> Vec<String> {
+pub(crate) fn names(rows: &[Row]) -> Vec<String> {
     let mut names: Vec<String> = rows.iter().map(|row| row.target.to_string()).collect();
     names.sort();
     names
 }
 
 /// Returns a replica of the targets `a` and `b` as of revision 10.
-fn initial_replica(now: Instant) -> Replica {
+pub(crate) fn initial_replica(now: Instant) -> Replica {
     let mut replica = Replica::default();
-    replica.replace(vec![registered("a", 3), registered("b", 10)], 10, now);
+    replica.replace(
+        vec![registered("a", at(3)), registered("b", at(10))],
+        at(10),
+        now,
+    );
     replica
 }
 
@@ -61,9 +74,9 @@
 fn an_older_registration_does_not_undo_a_removal() {
     let now = Instant::now();
     let mut replica = initial_replica(now);
-    replica.apply_delta(vec![row("a", 12, false)], 10, 12, now);
+    replica.apply_delta(vec![row("a", at(12), false)], at(10), at(12), now);
 
-    let changed = replica.apply_delta(vec![row("a", 11, true)], 10, 11, now);
+    let changed = replica.apply_delta(vec![row("a", at(11), true)], at(10), at(11), now);
 
     assert!(changed.is_empty());
     assert_eq!(names(&replica.rows()), ["b"]);
@@ -76,7 +89,7 @@
     let now = Instant::now();
     let mut replica = initial_replica(now);
 
-    let changed = replica.replace(vec![registered("b", 10)], 20, now);
+    let changed = replica.replace(vec![registered("b", at(10))], at(20), now);
 
     assert_eq!(names(&changed), ["a"]);
     assert!(changed[0].endpoint.is_none());
@@ -91,8 +104,8 @@
     replica.observe_store_age(Duration::from_secs(6), now);
     replica.observe_store_age(Duration::ZERO, now);
 
-    let changed = replica.apply_changes(vec![removed("a", 21), removed("b", 22)], now);
-    replica.apply_changes(vec![registered("a", 23)], now + Duration::from_secs(1));
+    let changed = replica.apply_changes(vec![removed("a", at(21)), removed("b", at(22))], now);
+    replica.apply_changes(vec![registered("a", at(23))], now + Duration::from_secs(1));
     let early = replica.apply_due_removals(now + Duration::from_secs(1));
     let late = replica.apply_due_removals(now + Duration::from_secs(3));
 
@@ -109,7 +122,7 @@
     let mut replica = initial_replica(now);
     replica.observe_store_age(Duration::from_millis(1500), now);
 
-    let changed = replica.apply_changes(vec![removed("a", 21)], now);
+    let changed = replica.apply_changes(vec![removed("a", at(21))], now);
 
     assert_eq!(names(&changed), ["a"]);
 }
@@ -121,10 +134,10 @@
     let now = Instant::now();
     let mut replica = initial_replica(now);
 
-    let changed = replica.apply_delta(vec![row("c", 30, true)], 25, 30, now);
+    let changed = replica.apply_delta(vec![row("c", at(30), true)], at(25), at(30), now);
 
     assert_eq!(names(&changed), ["c"]);
-    assert_eq!(replica.revision(), 10);
+    assert_eq!(replica.revision(), at(10));
 }
 
 /// Guards against an older snapshot of another entry that removes newer targets.
@@ -133,11 +146,15 @@
     let now = Instant::now();
     let mut replica = initial_replica(now);
 
-    let older = replica.apply_snapshot(vec![row("a", 3, true)], 9, now);
-    let newer = replica.apply_snapshot(vec![row("a", 3, true), row("c", 15, true)], 15, now);
+    let older = replica.apply_snapshot(vec![row("a", at(3), true)], at(9), now);
+    let newer = replica.apply_snapshot(
+        vec![row("a", at(3), true), row("c", at(15), true)],
+        at(15),
+        now,
+    );
 
     assert!(older.is_empty());
     assert_eq!(names(&newer), ["b", "c"]);
     assert_eq!(names(&replica.rows()), ["a", "c"]);
-    assert_eq!(replica.revision(), 15);
+    assert_eq!(replica.revision(), at(15));
 }
--- a/crates/peers/src/answer.rs
+++ b/crates/peers/src/answer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use carobdrift_routing::{Difference, State};
-use carobdrift_units::Version;
+use carobdrift_units::{StoreRevision, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::datagram::Row;
@@ -33,7 +33,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Targets {
     /// Store revision up to which the registrations are complete.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Registrations of the targets.
     pub rows: Vec<Row>,
 }
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 
 use carobdrift_placement::Endpoint;
-use carobdrift_units::{Target, Version, Zone};
+use carobdrift_units::{StoreRevision, Target, Version, Zone};
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram; fits into one packet at a usual network MTU.
@@ -73,7 +73,7 @@
     /// The zone.
     pub zone: Zone,
     /// Store revision of the begin or end.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether the targets of the zone get no requests.
     pub active: bool,
 }
@@ -84,7 +84,7 @@
     /// Version of the desired state in force.
     pub state: Version,
     /// Store revision up to which the entry has all target registrations.
-    pub targets: u64,
+    pub targets: StoreRevision,
     /// Age of the newest successful store response that the entry knows of, at
     /// itself or at another entry, in milliseconds; `u32::MAX` if it knows of none.
     pub store_age_ms: u32,
@@ -132,9 +132,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
     /// Store revision after which the changes were made.
-    pub after: u64,
+    pub after: StoreRevision,
     /// Store revision up to which the changes are complete.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Changed registrations.
     pub rows: Vec<Row>,
 }
@@ -143,7 +143,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Store revision that wrote the registration.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Id of the target.
     pub target: Target,
     /// Registration of the target; absent once the target is removed.
--- a/crates/peers/src/fetch.rs
+++ b/crates/peers/src/fetch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use carobdrift_http1::{Connection, ExchangeError, OpenError, ReadError, encode_request};
-use carobdrift_units::Version;
+use carobdrift_units::{StoreRevision, Version};
 use http::{HeaderMap, Method, StatusCode};
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -81,7 +81,7 @@
 /// Fails like [`fetch_state`].
 pub async fn fetch_targets(
     address: SocketAddr,
-    since: Option<u64>,
+    since: Option<StoreRevision>,
 ) -> Result<Answer<Targets>, FetchError> {
     let since = since.map(|revision| revision.to_string());
     fetch(address, &format!("/targets/{}", since.unwrap_or_default())).await
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use carobdrift_units::{BitRate, Version, Zone};
+use carobdrift_units::{BitRate, StoreRevision, Version, Zone};
 use futures_util::FutureExt;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
@@ -92,7 +92,7 @@
     pub state: Box<dyn Fn(Version) -> Option<Update> + Send + Sync>,
     /// Returns the targets if they are newer than a store revision; `None` stands for
     /// a requester without any.
-    pub targets: Box<dyn Fn(Option<u64>) -> Option<Targets> + Send + Sync>,
+    pub targets: Box<dyn Fn(Option<StoreRevision>) -> Option<Targets> + Send + Sync>,
 }
 
 /// Event received from another entry.
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use carobdrift_http1::{Request, Response, Rest, Service};
-use carobdrift_units::{BitRate, Version};
+use carobdrift_units::{BitRate, StoreRevision, Version};
 use futures_util::stream;
 use http::StatusCode;
 use serde::Serialize;
@@ -33,7 +33,7 @@
     /// Returns what is newer than a version of the desired state.
     pub(crate) state: Box<dyn Fn(Version) -> Option<Update> + Send + Sync>,
     /// Returns the targets if they are newer than a store revision.
-    pub(crate) targets: Box<dyn Fn(Option<u64>) -> Option<Targets> + Send + Sync>,
+    pub(crate) targets: Box<dyn Fn(Option<StoreRevision>) -> Option<Targets> + Send + Sync>,
     /// Returns other entries that have data as new as this entry's.
     pub(crate) providers: Box<dyn Fn(Subject) -> Vec<IpAddr> + Send + Sync>,
 }
@@ -58,7 +58,7 @@
         since: Option<Version>,
     },
     Targets {
-        revision: u64,
+        revision: StoreRevision,
     },
 }
 
@@ -91,7 +91,7 @@
         self.respond(Subject::State, contents, &update)
     }
 
-    fn targets(&self, since: Option<u64>) -> Result<Response, postcard::Error> {
+    fn targets(&self, since: Option<StoreRevision>) -> Result<Response, postcard::Error> {
         let Some(targets) = (self.source.targets)(since) else {
             return Ok(Response::new(StatusCode::NO_CONTENT, Bytes::new()));
         };
@@ -204,10 +204,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Since {
     State(Version),
-    Targets(Option<u64>),
+    Targets(Option<StoreRevision>),
 }
 
-/// Parses a request path, `/state/<version>` or `/targets/<revision>`.
+/// Parses a request path, `/state/<version>` or `/targets/<era>.<version>`.
 fn parse(path: &str) -> Option<Since> {
     let (subject, since) = path.strip_prefix('/')?.split_once('/')?;
     match (subject, since) {
--- a/crates/peers/tests/all/fetch.rs
+++ b/crates/peers/tests/all/fetch.rs
@@ -8,7 +8,7 @@
 
 use carobdrift_peers::{Answer, FetchError, Targets, fetch_state, fetch_targets};
 use carobdrift_test_support::link::{self, Link};
-use carobdrift_units::Version;
+use carobdrift_units::{Era, StoreRevision, Version};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
@@ -19,6 +19,13 @@
 /// Targets whose registrations take 1.4 s on a link of 10 Mbit/s.
 const MANY_TARGETS: u32 = 70_000;
 
+fn revision(version: u64) -> StoreRevision {
+    StoreRevision {
+        era: Era(0),
+        version,
+    }
+}
+
 fn newer(answer: Result<Answer<Targets>, FetchError>) -> Targets {
     match answer {
         Ok(Answer::Newer(targets)) => targets,
@@ -44,13 +51,13 @@
     entry.state.targets.store(5, Ordering::SeqCst);
     let kept = newer(fetch_targets(address, None).await);
     entry.state.revision.store(8, Ordering::SeqCst);
-    let changed = newer(fetch_targets(address, Some(7)).await);
+    let changed = newer(fetch_targets(address, Some(revision(7))).await);
 
     for answer in fetched {
-        assert_eq!(newer(answer).revision, 7);
+        assert_eq!(newer(answer).revision, revision(7));
     }
     assert_eq!(kept.rows.len(), 4, "encoded again");
-    assert_eq!((changed.revision, changed.rows.len()), (8, 5));
+    assert_eq!((changed.revision, changed.rows.len()), (revision(8), 5));
 }
 
 /// Guards against sending data to an entry that already has it.
@@ -59,12 +66,14 @@
     let entry = entry_with(4);
     entry.state.version.store(3, Ordering::SeqCst);
 
-    let older = newer(fetch_targets(entry.address(), Some(6)).await);
-    let same = fetch_targets(entry.address(), Some(7)).await.unwrap();
+    let older = newer(fetch_targets(entry.address(), Some(revision(6))).await);
+    let same = fetch_targets(entry.address(), Some(revision(7)))
+        .await
+        .unwrap();
     let state = fetch_state(entry.address(), Version(2)).await.unwrap();
     let same_state = fetch_state(entry.address(), Version(3)).await.unwrap();
 
-    assert_eq!(older.revision, 7);
+    assert_eq!(older.revision, revision(7));
     assert_eq!(same, Answer::Current);
     assert!(matches!(state, Answer::Newer(update) if update.version() == Some(Version(3))));
     assert_eq!(same_state, Answer::Current);
--- a/crates/peers/tests/all/fixture.rs
+++ b/crates/peers/tests/all/fixture.rs
@@ -10,7 +10,7 @@
     Data, Heartbeat, Peers, Phase, Row, Settings, StoreHealth, Targets, Update, Watermark,
 };
 use carobdrift_routing::{Limits, State as DesiredState};
-use carobdrift_units::{BitRate, Version, Zone};
+use carobdrift_units::{BitRate, Era, StoreRevision, Version, Zone};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -36,6 +36,8 @@
     pub(crate) rate: AtomicU32,
     /// Store revision of the entry's targets.
     pub(crate) revision: AtomicU64,
+    /// Era of the store.
+    pub(crate) era: AtomicU64,
     /// Number of targets, none of which is registered any longer.
     pub(crate) targets: AtomicU32,
     /// Version of the entry's desired state, which has no routes.
@@ -224,7 +226,7 @@
 fn watermark(state: &State) -> Watermark {
     Watermark {
         state: Version(state.version.load(Ordering::SeqCst)),
-        targets: state.revision.load(Ordering::SeqCst),
+        targets: revision(state),
         store_age_ms: 0,
     }
 }
@@ -243,13 +245,23 @@
     })
 }
 
-fn targets(state: &State, since: Option<u64>) -> Option<Targets> {
-    let revision = state.revision.load(Ordering::SeqCst);
+fn revision(state: &State) -> StoreRevision {
+    StoreRevision {
+        era: Era(state.era.load(Ordering::SeqCst)),
+        version: state.revision.load(Ordering::SeqCst),
+    }
+}
+
+fn targets(state: &State, since: Option<StoreRevision>) -> Option<Targets> {
+    let revision = revision(state);
     (since < Some(revision)).then(|| {
         state.snapshots.fetch_add(1, Ordering::SeqCst);
         let count = state.targets.load(Ordering::SeqCst);
         let rows = (0..count).map(|number| Row {
-            revision: u64::from(number),
+            revision: StoreRevision {
+                version: number.into(),
+                ..revision
+            },
             target: format!("i-{number:016}").parse().unwrap(),
             endpoint: None,
         });
--- a/crates/units/src/revision.rs
+++ b/crates/units/src/revision.rs
@@ -37,6 +37,15 @@
     pub fn start_of(era: Era) -> Self {
         Self { era, version: 0 }
     }
+
+    /// Returns the next position in the same era.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self {
+            version: self.version + 1,
+            ..self
+        }
+    }
 }
 
 impl fmt::Display for StoreRevision {
