Notice the return of the store within half a second

After a store failed for all entries, readers called it again only after up to 4 s: in the first 2.5 s they took the responses that others had got before the failure for a sign that it answers others. The first call after a failure then waited for a change for 1.5 s more.

Only a response that is younger than three quarters of the time for which calls fail shows that the store answers others. Otherwise calls are repeated every 500 ms, and they ask the store not to wait. A wait for a change takes 1.2 s instead of 1.5 s, so that one that began just before a return that took 200 ms ends in time.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -23,8 +23,10 @@
 use crate::task;
 
 /// Time for which the store is asked to wait for a change. The wait bounds the time
-/// until a dead connection is noticed.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
+/// until a dead connection is noticed, and until a waiting call shows that the store has
+/// returned from an older copy: it was away for 200 ms at least, and changes must be in
+/// force everywhere 1.25 s after the return.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// Delay after a change, so that one call returns changes in quick succession.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(120);
@@ -32,17 +34,24 @@
 /// Delay after the first failed call; doubles with each further failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Upper bound of the delay after failed calls.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Upper bound of the delay after failed calls. The changes that a store holds when it
+/// returns must be in force everywhere 1.25 s later.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Upper bound of the delay after failed calls while the store answers other
-/// entries, which then read it in place of this one.
-const MAX_REPLACED_RETRY_DELAY: Duration = Duration::from_secs(4);
+/// Delay after failed calls while the store answers other entries, which then read it in
+/// place of this one.
+const REPLACED_RETRY_DELAY: Duration = Duration::from_secs(4);
 
 /// Age of the newest store response of another entry up to which the store
 /// answers others: that of a reader that waits for a change.
 const MAX_REPLACED_AGE: Duration = Duration::from_millis(2500);
 
+/// A response to another entry shows that the store answers others once its age is below
+/// this share of the time for which calls of this one fail. Not the whole time: entries
+/// report ages to each other, and each report makes a response look newer by the delay of
+/// the datagram.
+const MAX_REPLACED_AGE_SHARE: f64 = 0.75;
+
 /// Interval at which an entry that does not read the store checks whether it
 /// should start to.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -127,23 +136,29 @@
 async fn watch_subject(shared: Arc<Shared>, peers: Peers, subject: Subject) {
     let mut after = None;
     let mut retry_delay = MIN_RETRY_DELAY;
-    let mut is_failing = false;
+    let mut failing_since = None;
     loop {
         if !should_read(&shared, &peers, subject) {
             after = None;
-            if std::mem::take(&mut is_failing) {
+            if failing_since.take().is_some() {
                 shared.set_store_failing(subject, false);
             }
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
-        let Some(result) = call_store(&shared, subject, after).await else {
+        // A store that has just returned shows its era only at the end of a wait.
+        let wait = if failing_since.is_some() {
+            Duration::ZERO
+        } else {
+            WATCH_TIMEOUT
+        };
+        let Some(result) = call_store(&shared, subject, after, wait).await else {
             after = None;
             continue;
         };
         match result {
             Ok(batch) => {
-                if std::mem::take(&mut is_failing) {
+                if failing_since.take().is_some() {
                     log::info!(target: "store", "event=regained subject={subject:?}");
                     shared.set_store_failing(subject, false);
                 }
@@ -177,7 +192,9 @@
                 after = None;
             }
             Err(error) => {
-                if !std::mem::replace(&mut is_failing, true) {
+                let now = Instant::now();
+                let since = *failing_since.get_or_insert(now);
+                if since == now {
                     log::warn!(
                         target: "store",
                         "event=lost subject={subject:?} error=\"{error}\""
@@ -185,14 +202,17 @@
                     shared.set_store_failing(subject, true);
                     peers.announce().await;
                 }
-                let is_replaced = shared.peer_store_age(Instant::now()) <= MAX_REPLACED_AGE;
-                let max_delay = if is_replaced {
-                    MAX_REPLACED_RETRY_DELAY
+                let age = shared.peer_store_age(now);
+                let failing_time = now.saturating_duration_since(since);
+                let is_replaced =
+                    age <= MAX_REPLACED_AGE && age < failing_time.mul_f64(MAX_REPLACED_AGE_SHARE);
+                let delay = if is_replaced {
+                    REPLACED_RETRY_DELAY
                 } else {
-                    MAX_RETRY_DELAY
+                    retry_delay
                 };
-                tokio::time::sleep(retry_delay.min(max_delay)).await;
-                retry_delay = (retry_delay * 2).min(max_delay);
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                tokio::time::sleep(delay).await;
             }
         }
     }
@@ -204,12 +224,13 @@
     shared: &Shared,
     subject: Subject,
     after: Option<StoreRevision>,
+    wait: Duration,
 ) -> Option<Result<Batch, Cause>> {
     let Some(after) = after else {
         return Some(shared.store.read(subject).await);
     };
     tokio::select! {
-        result = shared.store.watch(subject, after, WATCH_TIMEOUT) => Some(result),
+        result = shared.store.watch(subject, after, wait) => Some(result),
         () = shared.eras.wait_for_newer(after.era) => None,
     }
 }
