Admit waiting requests by expected capacity, priority, work and workspace

Cause: the queue of a service ordered requests by whether they can be on time, by priority and by age. Under overload requests waited until their target latency had passed and were then refused, and Retry-After was 0.15 s whatever the load.

Change: Queue keeps the demand of each waiting request (priority, workspace, work, latest start), observes the work that targets accept per second while requests wait, and plans which requests start within a tenth of their target latency: by priority, then by the recent work of the workspace, then those with the least work. Others wait for capacity that arrivals leave unused, or are refused at once. After a refusal, less urgent requests that need as much work are refused too until the refused one could no longer be on time. Retry-After is the time until capacity is expected, spread up to a third of the remaining time. No request is hedged while another one waits. Counters by decision, the expected capacity, and one log line a second for each class of refusals.

The tests of the old queue's order and expected wait go with it; overload.rs plays the old order as its baseline.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -143,7 +143,8 @@
             Err(if call.is_dispatched() {
                 Refusal::TimedOut
             } else {
-                Refusal::Busy
+                // No time is left for another attempt of the caller.
+                Refusal::Busy(Duration::ZERO)
             })
         })
     }
@@ -187,7 +188,13 @@
     async fn hedge(self: &Arc<Self>, call: &Arc<Call>, attempts: &mut Attempts) {
         let service_time = self.services.estimate(&call.route).mean();
         let on_time = Instant::now() + service_time <= call.soft_deadline();
-        if !on_time || !attempts.may_send(call) || !self.services.try_spend_retry(&call.service) {
+        // A slot that a waiting request needs is not spent on a second attempt.
+        let is_contended = self.services.admission.has_waiting(&call.service);
+        if !on_time
+            || is_contended
+            || !attempts.may_send(call)
+            || !self.services.try_spend_retry(&call.service)
+        {
             return;
         }
         if let Ok(placement) = self.place(call, &attempts.tried).await {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use carobdrift_units::{Target, Version, Zone};
 use tokio_util::sync::CancellationToken;
 
+use crate::admission::Admission;
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -65,7 +66,11 @@
         };
         Arc::new(Self {
             dialect,
-            services: Services::new(settings.zone.clone(), retries),
+            services: Services::new(
+                settings.zone.clone(),
+                retries,
+                Admission::new(metrics.clone()),
+            ),
             upstreams: Upstreams::new(metrics.connections.clone()),
             metrics,
             table: ArcSwapOption::empty(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! the request may have been executed. The names of header fields come from a
 //! [`Dialect`], so this crate does not depend on a platform.
 
+mod admission;
 mod attempt;
 mod call;
 mod clock;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{
+    GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
+};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: &[f64] = &[
@@ -17,6 +19,8 @@
     pub(crate) attempts: IntCounterVec,
     pub(crate) probes: IntCounterVec,
     pub(crate) connections: IntCounter,
+    pub(crate) admissions: IntCounterVec,
+    pub(crate) expected_capacity: GaugeVec,
 }
 
 impl Metrics {
@@ -51,12 +55,28 @@
                 "carobdrift_target_connections_total",
                 "Connections opened to targets",
             )?,
+            admissions: IntCounterVec::new(
+                Opts::new(
+                    "carobdrift_admissions_total",
+                    "Requests that need a slot, by decision",
+                ),
+                &["service", "decision"],
+            )?,
+            expected_capacity: GaugeVec::new(
+                Opts::new(
+                    "carobdrift_expected_capacity",
+                    "Seconds of work per second that targets accept from this entry",
+                ),
+                &["service"],
+            )?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.probes.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.admissions.clone()))?;
+        registry.register(Box::new(metrics.expected_capacity.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_placement::{Choice, Criteria, Endpoint, Estimate, Outcome, Rank, Snapshot};
-use carobdrift_units::{Service, Target};
-use tokio::sync::{Notify, mpsc};
+use carobdrift_placement::{
+    Choice, Criteria, Demand, Endpoint, Estimate, Outcome, Snapshot, Ticket, retry_after,
+};
+use carobdrift_units::Target;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::admission::Waiting;
 use crate::call::Call;
 use crate::gateway::Gateway;
 use crate::refusal::Refusal;
@@ -62,111 +65,112 @@
     fast_until: Instant,
     /// Last time at which an attempt can start and still meet the soft deadline.
     latest_on_time: Instant,
-    /// End of the wait in the queue, after which the request is refused.
-    queue_deadline: Instant,
+    /// Last time at which an attempt can start and still meet the deadline.
+    last_start: Instant,
 }
 
 impl Limits {
     fn new(call: &Call, estimate: &Estimate) -> Self {
         let margin = estimate.mean().mul_f64(SERVICE_TIME_MARGIN);
-        let fast_until = call.received + call.route.target_latency.mul_f64(FAST_WAIT_FRACTION);
         let latest_start = |end: Instant| end.checked_sub(margin).unwrap_or(call.received);
+        let fast_until = call.received + call.route.target_latency.mul_f64(FAST_WAIT_FRACTION);
         Self {
             fast_until,
             latest_on_time: latest_start(call.soft_deadline()),
-            queue_deadline: latest_start(call.deadline)
-                .min(call.soft_deadline())
-                .max(fast_until),
+            last_start: latest_start(call.deadline).max(fast_until),
         }
     }
 }
 
-/// Waiter in the queue of a service; dropping the waiter removes it from the
+/// Request that may have to wait for a slot; dropping the waiter removes it from the
 /// queue.
 struct Waiter {
     gateway: Arc<Gateway>,
-    service: Service,
-    rank: Rank,
-    notify: Arc<Notify>,
-    queued: bool,
+    call: Arc<Call>,
+    demand: Demand,
+    waiting: Arc<Waiting>,
+    ticket: Option<Ticket>,
 }
 
 impl Waiter {
-    fn new(gateway: &Arc<Gateway>, call: &Call) -> Self {
-        let rank = Rank {
-            late: false,
+    fn new(gateway: &Arc<Gateway>, call: &Arc<Call>, limits: &Limits, work: Duration) -> Self {
+        let workspace = call.credential.as_ref().map(|c| &c.workspace.name);
+        let demand = Demand {
             priority: call.priority,
-            received: call.received,
-            sequence: gateway.services.next_sequence(&call.service),
+            workspace: workspace.map(|name| name.as_str().into()),
+            work,
+            received: Instant::now(),
+            target_latency: call.route.target_latency,
+            start_by: limits.latest_on_time,
+            last_start: limits.last_start,
         };
+        let admission = &gateway.services.admission;
+        admission.record_arrival(&call.service, &demand);
         Self {
             gateway: Arc::clone(gateway),
-            service: call.service.clone(),
-            rank,
-            notify: Arc::default(),
-            queued: false,
+            call: Arc::clone(call),
+            demand,
+            waiting: Arc::default(),
+            ticket: None,
         }
     }
 
+    /// Whether the next slot is for this request.
     fn is_first(&self) -> bool {
-        self.gateway.services.is_first(&self.service, &self.rank)
+        let admission = &self.gateway.services.admission;
+        match self.ticket {
+            Some(ticket) => admission.is_first(&self.call.service, ticket),
+            None => admission.admits_at_once(&self.call.service, &self.demand),
+        }
     }
 
-    fn enqueue(&mut self) {
-        if !self.queued {
-            let services = &self.gateway.services;
-            services.enqueue(&self.service, self.rank, Arc::clone(&self.notify));
-            self.queued = true;
+    fn leave(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let admission = &self.gateway.services.admission;
+            admission.remove(&self.call.service, ticket, false);
         }
     }
 
-    fn dequeue(&mut self, dispatched: bool) {
-        if std::mem::take(&mut self.queued) {
-            let services = &self.gateway.services;
-            services.dequeue(&self.service, &self.rank, dispatched);
+    /// Records that the request got a slot.
+    fn start(&mut self) {
+        let admission = &self.gateway.services.admission;
+        match self.ticket.take() {
+            Some(ticket) => admission.remove(&self.call.service, ticket, true),
+            None => admission.record_start(&self.call.service, &self.demand),
         }
     }
 
     /// Waits in the queue until a slot may be free, at most for the poll interval.
     /// Returns whether the wait timed out.
-    async fn wait(&mut self, limits: &Limits) -> Result<bool, Refusal> {
-        let now = Instant::now();
-        if now >= limits.queue_deadline {
-            return Err(Refusal::Busy);
-        }
-        if now >= limits.latest_on_time {
-            self.mark_late();
-        }
-        if !self.queued {
-            let services = &self.gateway.services;
-            let wait = services.expected_wait(&self.service, &self.rank);
-            if now + wait > limits.queue_deadline {
-                return Err(Refusal::Busy);
-            }
-            self.enqueue();
+    async fn wait(&mut self) -> Result<bool, Refusal> {
+        let admission = &self.gateway.services.admission;
+        let service = &self.call.service;
+        if self.ticket.is_none() {
+            let waiting = Arc::clone(&self.waiting);
+            self.ticket = Some(admission.push(service, self.demand.clone(), waiting));
+        } else {
+            admission.plan(service);
         }
-        let next_poll = (now + POLL_INTERVAL).min(limits.queue_deadline);
-        Ok(tokio::time::timeout_at(next_poll, self.notify.notified())
-            .await
-            .is_err())
+        self.check_refused()?;
+        let notified = self.waiting.notify.notified();
+        let timed_out = tokio::time::timeout(POLL_INTERVAL, notified).await.is_err();
+        self.check_refused()?;
+        Ok(timed_out)
     }
 
-    /// Moves the request behind those that can still be answered in time.
-    fn mark_late(&mut self) {
-        if !self.rank.late {
-            let queued = self.queued;
-            self.dequeue(false);
-            self.rank.late = true;
-            if queued {
-                self.enqueue();
-            }
-        }
+    fn check_refused(&self) -> Result<(), Refusal> {
+        let Some(capacity_in) = self.waiting.refused.get() else {
+            return Ok(());
+        };
+        let sequence = self.gateway.services.admission.next_refusal();
+        let wait = retry_after(*capacity_in, self.call.remaining(), sequence);
+        Err(Refusal::Busy(wait))
     }
 }
 
 impl Drop for Waiter {
     fn drop(&mut self) {
-        self.dequeue(false);
+        self.leave();
     }
 }
 
@@ -181,16 +185,16 @@
     ) -> Result<Placement, Refusal> {
         let estimate = self.services.estimate(&call.route);
         let limits = Limits::new(call, &estimate);
-        let mut waiter = Waiter::new(self, call);
+        let mut waiter = Waiter::new(self, call, &limits, estimate.mean());
         let mut probed = Vec::new();
         // Probes would add to the load of an overloaded machine.
         let mut immediate = self.is_overloaded();
         loop {
             let chosen = if waiter.is_first() {
                 // A request is not sent if its response would miss the soft
-                // deadline, until the request is marked as late: the slot could
-                // serve a waiting request in time.
-                let respond_by = if waiter.rank.late {
+                // deadline, while it can still meet it on another target: the slot
+                // could serve a waiting request in time.
+                let respond_by = if Instant::now() >= limits.latest_on_time {
                     call.deadline
                 } else {
                     call.soft_deadline().min(call.deadline)
@@ -202,7 +206,7 @@
             match chosen {
                 None | Some((Choice::NoTarget, ..)) => return Err(Refusal::NoTarget),
                 Some((Choice::Send(endpoint), attempt, snapshot)) => {
-                    waiter.dequeue(true);
+                    waiter.start();
                     return Ok(Placement {
                         gateway: Arc::clone(self),
                         call: Arc::clone(call),
@@ -217,22 +221,28 @@
                     self.probe_any(call, targets).await;
                     continue;
                 }
+                // Requests already wait: the order of the queue decides which of them
+                // gets the next fast target.
+                Some((Choice::Slow, ..)) if self.services.admission.has_waiting(&call.service) => {
+                    if waiter.wait().await? {
+                        probed.clear();
+                    }
+                }
                 Some((Choice::Slow, ..)) => {
-                    // This request waits for a fast target outside the queue, so
-                    // that it does not block requests that accept a slow one.
-                    waiter.dequeue(false);
                     if Instant::now() < limits.fast_until && !immediate {
                         let next_poll = (Instant::now() + POLL_INTERVAL).min(limits.fast_until);
                         tokio::time::sleep_until(next_poll).await;
                         probed.clear();
                     }
                 }
-                Some((Choice::Paused(until), ..)) if until >= limits.queue_deadline => {
+                Some((Choice::Paused(until), ..))
+                    if until >= limits.last_start.min(call.soft_deadline()) =>
+                {
                     let pause = until.saturating_duration_since(Instant::now());
                     return Err(Refusal::Paused(pause));
                 }
                 Some((Choice::Saturated | Choice::Paused(_), ..)) => {
-                    if waiter.wait(&limits).await? {
+                    if waiter.wait().await? {
                         probed.clear();
                     }
                 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,8 +10,9 @@
 /// `Retry-After` time while the entry has no desired state.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` time if all targets are busy or unavailable.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// `Retry-After` time if targets are unavailable or refuse, for a time that the entry
+/// does not know.
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// Reason why a request gets no response from a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,8 +27,9 @@
     Unauthorized,
     /// No target accepts requests. Not executed.
     NoTarget,
-    /// No target had a free slot in time. Not executed.
-    Busy,
+    /// No target had a free slot in time. Capacity for the request is expected after
+    /// this time. Not executed.
+    Busy(Duration),
     /// All targets asked for a pause, the shortest of which lasts for this time.
     /// Not executed.
     Paused(Duration),
@@ -48,7 +50,7 @@
             Self::NoRoute => "no-route",
             Self::Unauthorized => "unauthorized",
             Self::NoTarget => "no-target",
-            Self::Busy => "busy",
+            Self::Busy(_) => "busy",
             Self::Paused(_) => "paused",
             Self::NotExecuted => "not-executed",
             Self::Broken => "broken",
@@ -63,10 +65,11 @@
             Self::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::ZERO)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
             Self::Unauthorized => (StatusCode::UNAUTHORIZED, None),
-            Self::NoTarget | Self::Busy | Self::NotExecuted => {
-                (StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY_AFTER))
-            }
-            Self::Paused(pause) => (StatusCode::SERVICE_UNAVAILABLE, Some(pause)),
+            Self::NoTarget | Self::NotExecuted => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(UNAVAILABLE_RETRY_AFTER),
+            ),
+            Self::Busy(wait) | Self::Paused(wait) => (StatusCode::SERVICE_UNAVAILABLE, Some(wait)),
             Self::Broken => (StatusCode::BAD_GATEWAY, None),
             Self::TimedOut => (StatusCode::GATEWAY_TIMEOUT, None),
         };
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use carobdrift_placement::{Budget, Endpoint, Estimate, Load, Outcome, Pool, Queue, Rank};
+use carobdrift_placement::{Budget, Endpoint, Estimate, Load, Outcome, Pool};
 use carobdrift_routing::{Route, Splits};
 use carobdrift_units::{Service, Target, Zone};
-use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::admission::Admission;
+
 /// Share of the permitted retry ratio that is used. The rest covers retries that
 /// the targets count in another window.
 const RATIO_SHARE: f64 = 0.7;
@@ -28,20 +29,20 @@
     pub(crate) window: Duration,
 }
 
-/// Services with their pools, queues, retry budgets and estimates; the only
+/// Services with their pools, waiting requests, retry budgets and estimates; the only
 /// state that requests share.
 #[derive(Debug)]
 pub(crate) struct Services {
     zone: Zone,
     retries: Retries,
+    /// Requests that wait for a slot.
+    pub(crate) admission: Admission,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     pools: HashMap<Service, Pool>,
-    /// Requests that wait for a slot.
-    queues: HashMap<Service, Queue<Arc<Notify>>>,
     budgets: HashMap<Service, Budget>,
     splits: Splits,
     /// Service time estimates by route name.
@@ -51,24 +52,12 @@
     entries: usize,
 }
 
-impl State {
-    fn queue(&mut self, service: &Service) -> &mut Queue<Arc<Notify>> {
-        self.queues.entry(service.clone()).or_default()
-    }
-
-    /// Wakes the first request in the queue of a service.
-    fn wake_first(&mut self, service: &Service) {
-        if let Some(first) = self.queues.get(service).and_then(Queue::first) {
-            first.notify_one();
-        }
-    }
-}
-
 impl Services {
-    pub(crate) fn new(zone: Zone, retries: Retries) -> Self {
+    pub(crate) fn new(zone: Zone, retries: Retries, admission: Admission) -> Self {
         Self {
             zone,
             retries,
+            admission,
             state: Mutex::default(),
         }
     }
@@ -92,7 +81,8 @@
             .or_insert_with(|| Pool::new(self.zone.clone()));
         let service = endpoint.service.clone();
         pool.put(endpoint, now);
-        state.wake_first(&service);
+        drop(state);
+        self.admission.wake_first(&service);
     }
 
     pub(crate) fn remove(&self, target: &Target) {
@@ -161,7 +151,7 @@
         self.with_pool(&endpoint.service, |pool, now| {
             pool.record_load(&endpoint.id, load, now);
         });
-        self.lock().wake_first(&endpoint.service);
+        self.admission.wake_first(&endpoint.service);
     }
 
     /// Records that a target broke off a response after its attempt had ended.
@@ -210,38 +200,7 @@
                 .or_insert_with(|| Estimate::new(route.target_latency));
             estimate.observe(elapsed, slowdown);
         }
-        self.lock().wake_first(&endpoint.service);
-    }
-
-    /// Returns a sequence number for the rank of a new request.
-    pub(crate) fn next_sequence(&self, service: &Service) -> u64 {
-        self.lock().queue(service).next_sequence()
-    }
-
-    /// Whether no waiting request comes before `rank`.
-    pub(crate) fn is_first(&self, service: &Service, rank: &Rank) -> bool {
-        self.lock().queue(service).is_first(rank)
-    }
-
-    /// Adds a request to the queue. `waiter` is notified when a slot may be free
-    /// for the request.
-    pub(crate) fn enqueue(&self, service: &Service, rank: Rank, waiter: Arc<Notify>) {
-        self.lock().queue(service).push(rank, waiter);
-    }
-
-    /// Removes a request from the queue and wakes the first remaining one.
-    /// `dispatched` states whether the request got a slot.
-    pub(crate) fn dequeue(&self, service: &Service, rank: &Rank, dispatched: bool) {
-        let mut state = self.lock();
-        let now = dispatched.then(Instant::now);
-        if state.queue(service).remove(rank, now).is_some() {
-            state.wake_first(service);
-        }
-    }
-
-    /// Estimates the queueing time of a request of this rank.
-    pub(crate) fn expected_wait(&self, service: &Service, rank: &Rank) -> Duration {
-        self.lock().queue(service).expected_wait(rank)
+        self.admission.wake_first(&endpoint.service);
     }
 
     fn with_budget<T>(&self, service: &Service, run: impl FnOnce(&mut Budget, Instant) -> T) -> T {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,17 +8,21 @@
 
 mod budget;
 mod candidate;
+mod capacity;
 mod contention;
 mod estimate;
 mod health;
+mod plan;
 mod pool;
 mod queue;
 mod report;
+mod retry;
 mod statement;
 
 pub use budget::Budget;
 pub use candidate::{Endpoint, Lifecycle};
 pub use estimate::Estimate;
 pub use pool::{Choice, Criteria, Pool};
-pub use queue::{Queue, Rank};
+pub use queue::{Demand, Queue, Reason, Refused, Ticket};
 pub use report::{Load, Outcome, Snapshot};
+pub use retry::retry_after;
--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -3,7 +3,8 @@
 mod budget;
 mod contention;
 mod fixture;
+mod order;
+mod overload;
 mod pool;
-mod queue;
 mod simulation;
 mod statement;
