--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -110,8 +110,9 @@
             pool.set_evacuated(Arc::clone(&zones));
         }
         let services: Vec<Service> = state.pools.keys().cloned().collect();
+        drop(state);
         for service in services {
-            state.wake_first(&service);
+            self.admission.wake_first(&service);
         }
     }
 
