Bound what an entry holds of requests by the memory of its machine

Cause: an entry held each request body in a buffer that doubles and copied it once for each attempt, and no limit related this to limits.memoryMb, which was not read. Callers could take a process over its memory, and open connections up to the limit of the process.

Change: the settings limits.memoryMb and limits.maxFds give the budget of a server. Partial requests, requests in service and responses count towards nine sixteenths of the memory; half of the descriptors beyond 200 are for callers. At the budget a connection stops reading. Then requests without progress for 0.5 s are refused, and if all that hold memory wait, the one that began last; the one that began first never is. Refusals are 503 with Retry-After, since no target has the request. Bodies grow by parts of at most 64 KiB and are sent from these parts, so that no attempt copies them. Receive buffers of callers are limited to 256 KiB.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use carobdrift_http1::{ExchangeError, Response, encode_request};
+use carobdrift_http1::{ExchangeError, Response, encode_request_parts};
 use carobdrift_placement::Outcome;
 use http::StatusCode;
 use tokio::time::Instant;
@@ -170,14 +170,14 @@
         let mut headers = call.headers.clone();
         self.dialect
             .set_target_headers(&mut headers, call.remaining(), &endpoint.id);
-        let bytes = encode_request(&call.method, &call.target, &headers, &call.body).freeze();
+        let request = encode_request_parts(&call.method, &call.target, &headers, &call.body);
         call.begin_dispatch();
         let mut sent = 0;
         let result = upstream
             .start(
                 call.id.as_deref(),
                 &call.method,
-                bytes,
+                request,
                 RESPONSE_WINDOW_BYTES,
                 &mut sent,
                 self.dialect.as_ref(),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,8 +4,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use carobdrift_http1::Request;
+use carobdrift_http1::{Body, Request};
 use carobdrift_routing::{Kind, Route};
 use carobdrift_units::{Service, Version};
 use http::{HeaderMap, Method};
@@ -19,7 +18,7 @@
     pub(crate) method: Method,
     pub(crate) target: String,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Body,
     /// Attempt id that the caller sent.
     pub(crate) id: Option<String>,
     pub(crate) route: Arc<Route>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use carobdrift_http1::{Limits, Request, Response, Service};
+use carobdrift_http1::{Budget, Capacity, Limits, Request, Response, Service};
 use carobdrift_placement::Endpoint;
 use carobdrift_routing::{State, Table};
 use carobdrift_units::{Target, Version, Zone};
@@ -34,6 +34,8 @@
     pub retry_reserve: f64,
     /// Sliding window of the retry budget.
     pub retry_window: Duration,
+    /// Resources for the connections of callers.
+    pub capacity: Capacity,
 }
 
 /// Data path of one entry.
@@ -43,6 +45,7 @@
     pub(crate) services: Services,
     pub(crate) upstreams: Upstreams,
     pub(crate) metrics: Metrics,
+    budget: Budget,
     table: ArcSwapOption<Table>,
     draining: AtomicBool,
     /// Cancelled when requests that are read from then on are refused.
@@ -68,6 +71,7 @@
             services: Services::new(settings.zone.clone(), retries),
             upstreams: Upstreams::new(metrics.connections.clone()),
             metrics,
+            budget: Budget::new(settings.capacity),
             table: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
             stopped: CancellationToken::new(),
@@ -139,6 +143,12 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Returns the budget of the connections of callers.
+    #[must_use]
+    pub fn budget(&self) -> &Budget {
+        &self.budget
+    }
+
     /// Returns the number of requests since the start.
     #[must_use]
     pub fn request_count(&self) -> u64 {
@@ -245,6 +255,10 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    fn budget(&self) -> Option<&Budget> {
+        Some(&self.budget)
+    }
+
     async fn call(self: Arc<Self>, request: Request) -> Response {
         self.relay(request).await
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,8 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use carobdrift_http1::{Connection, ExchangeError, OpenError, Response};
+use carobdrift_http1::{Connection, ExchangeError, OpenError, Outgoing, Response};
 use carobdrift_placement::Endpoint;
 use carobdrift_units::Target;
 use http::Method;
@@ -62,7 +61,7 @@
         &mut self,
         attempt: Option<&str>,
         method: &Method,
-        request: Bytes,
+        request: impl Into<Outgoing>,
         window: usize,
         sent: &mut usize,
         dialect: &dyn Dialect,
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 use crate::reader::ReadError;
+use crate::segments::Segments;
 
 /// Longest chunk-size line, chunk extensions included, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
@@ -29,8 +30,11 @@
     limit: u64,
     /// Bytes of the body that were decoded, whether taken or not.
     decoded: u64,
-    /// Decoded bytes that were not taken yet.
+    /// Decoded bytes that were not taken yet, unless they are collected in
+    /// `segments`.
     collected: BytesMut,
+    /// Decoded bytes of a body that is read completely before it is used.
+    segments: Option<Segments>,
     expected: Element,
     /// Bytes of the trailer section so far.
     trailer: usize,
@@ -62,11 +66,45 @@
             limit,
             decoded: 0,
             collected: BytesMut::new(),
+            segments: None,
             expected: Element::Size,
             trailer: 0,
         })
     }
 
+    /// Creates a decoder for a body that is read completely before it is used.
+    pub(crate) fn complete(framing: Framing, limit: u64) -> Result<Self, ReadError> {
+        let mut decoder = Self::new(framing, limit)?;
+        decoder.segments = Some(Segments::default());
+        Ok(decoder)
+    }
+
+    /// Returns the part that the next bytes of the connection belong to and the
+    /// number of bytes that are missing, if they need not be decoded.
+    pub(crate) fn undecoded(&mut self) -> Option<(&mut Segments, u64)> {
+        let missing = self.remaining()?;
+        Some((self.segments.as_mut()?, missing))
+    }
+
+    /// Records that bytes were read to the part that [`undecoded`](Self::undecoded)
+    /// returned.
+    pub(crate) fn record(&mut self, count: usize) {
+        self.decoded += u64::try_from(count).unwrap_or(u64::MAX);
+        if let Some(segments) = &mut self.segments {
+            segments.record(count);
+        }
+    }
+
+    /// Returns the body that was collected.
+    pub(crate) fn segments(&self) -> Option<&Segments> {
+        self.segments.as_ref()
+    }
+
+    /// Takes the body that was collected.
+    pub(crate) fn take_segments(&mut self) -> Segments {
+        self.segments.take().unwrap_or_default()
+    }
+
     /// Consumes the bytes of the body from `buffer`; returns whether the body is
     /// complete.
     pub(crate) fn decode(&mut self, buffer: &mut BytesMut) -> Result<bool, ReadError> {
@@ -114,7 +152,10 @@
         if self.decoded > self.limit {
             return Err(ReadError::BodyTooLarge);
         }
-        if self.collected.is_empty() {
+        let missing = self.remaining();
+        if let Some(segments) = &mut self.segments {
+            segments.extend(&part, missing);
+        } else if self.collected.is_empty() {
             self.collected = part;
         } else {
             self.collected.extend_from_slice(&part);
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes};
+use bytes::Bytes;
 use http::Method;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
@@ -15,6 +15,7 @@
 
 use crate::message::Response;
 use crate::reader::{Limits, ReadError, Reader};
+use crate::segments::Outgoing;
 
 /// Time for which sent bytes may stay unacknowledged before the kernel closes
 /// the connection. A network partition causes no other error.
@@ -63,7 +64,7 @@
     expiry: Option<Instant>,
     reusable: bool,
     /// Part of the request that was not sent yet.
-    unsent: Bytes,
+    unsent: Outgoing,
     /// What the peer stated about the connection in the response that is being
     /// read: whether it stays open, and for how long while it is idle.
     persistence: (bool, Option<Duration>),
@@ -100,7 +101,7 @@
             last_used: Instant::now(),
             expiry: None,
             reusable: true,
-            unsent: Bytes::new(),
+            unsent: Outgoing::default(),
             persistence: (false, None),
         })
     }
@@ -153,12 +154,12 @@
     pub async fn start(
         &mut self,
         method: &Method,
-        request: Bytes,
+        request: impl Into<Outgoing>,
         window: usize,
         sent: &mut usize,
     ) -> Result<Response, ExchangeError> {
         self.reusable = false;
-        self.unsent = request;
+        self.unsent = request.into();
         *sent = 0;
         let response = self.read_response(method, window, sent).await?;
         if !self.is_within_response() {
@@ -206,7 +207,7 @@
             let read = self.reader.response(method, window);
             tokio::select! {
                 biased;
-                written = self.writer.write(&self.unsent), if !self.unsent.is_empty() => {
+                written = self.writer.write(self.unsent.chunk()), if !self.unsent.is_empty() => {
                     match written {
                         Ok(count) if count > 0 => {
                             *sent += count;
@@ -253,7 +254,7 @@
             let read = self.reader.response_part();
             tokio::select! {
                 biased;
-                written = self.writer.write(&self.unsent), if !self.unsent.is_empty() => {
+                written = self.writer.write(self.unsent.chunk()), if !self.unsent.is_empty() => {
                     match written {
                         Ok(count) if count > 0 => self.unsent.advance(count),
                         Ok(_) | Err(_) => {
--- a/crates/http1/src/encode.rs
+++ b/crates/http1/src/encode.rs
@@ -5,11 +5,54 @@
 
 use crate::body::Framing;
 use crate::message::Response;
+use crate::segments::{Body, Outgoing};
+
+/// Largest body that is copied to follow the head in one part, in bytes. A packet less
+/// costs less time than the copy.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
 
 /// Encodes a request with its body.
 #[must_use]
 pub fn encode_request(method: &Method, target: &str, headers: &HeaderMap, body: &[u8]) -> BytesMut {
-    let mut bytes = BytesMut::with_capacity(256 + target.len() + body.len());
+    let mut bytes = encode_request_head(method, target, headers, body.len(), body.len());
+    bytes.put_slice(body);
+    bytes
+}
+
+/// Encodes a request. A large body is not copied.
+#[must_use]
+pub fn encode_request_parts(
+    method: &Method,
+    target: &str,
+    headers: &HeaderMap,
+    body: &Body,
+) -> Outgoing {
+    let is_copied = body.len() <= MAX_COPIED_BODY_BYTES;
+    let room = if is_copied { body.len() } else { 0 };
+    let mut head = encode_request_head(method, target, headers, body.len(), room);
+    if is_copied {
+        for part in body.parts() {
+            head.put_slice(part);
+        }
+        return head.freeze().into();
+    }
+    let mut outgoing = Outgoing::from(head.freeze());
+    for part in body.parts() {
+        outgoing.push(part.clone());
+    }
+    outgoing
+}
+
+/// Encodes the head of a request with a body of `length` bytes, with room for `room`
+/// bytes after it.
+fn encode_request_head(
+    method: &Method,
+    target: &str,
+    headers: &HeaderMap,
+    length: usize,
+    room: usize,
+) -> BytesMut {
+    let mut bytes = BytesMut::with_capacity(256 + target.len() + room);
     bytes.put_slice(method.as_str().as_bytes());
     bytes.put_u8(b' ');
     bytes.put_slice(target.as_bytes());
@@ -17,12 +60,11 @@
     encode_headers(&mut bytes, headers);
     let expects_body =
         *method == Method::POST || *method == Method::PUT || *method == Method::PATCH;
-    if expects_body || !body.is_empty() {
-        let length = u64::try_from(body.len()).unwrap_or(u64::MAX);
+    if expects_body || length > 0 {
+        let length = u64::try_from(length).unwrap_or(u64::MAX);
         encode_content_length(&mut bytes, length);
     }
     bytes.put_slice(b"\r\n");
-    bytes.put_slice(body);
     bytes
 }
 
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -5,21 +5,26 @@
 //! holds bytes that belong to no exchange, and pipelined requests that are
 //! served concurrently and answered in order. [`listen`] serves connections
 //! with a [`Service`]; [`Connection`] is a client connection that carries one
-//! exchange at a time. Requests are fully buffered, within limits. The body of a
+//! exchange at a time. Requests are fully buffered, within limits and within the
+//! [`Budget`] of the server. The body of a
 //! response can be passed on while it arrives: its receiver's pace then
 //! determines how fast it is read.
 
 mod body;
+mod budget;
 mod client;
 mod encode;
 mod head;
 mod message;
 mod output;
 mod reader;
+mod segments;
 mod server;
 
+pub use budget::{Budget, Capacity};
 pub use client::{Connection, ExchangeError, OpenError};
-pub use encode::encode_request;
+pub use encode::{encode_request, encode_request_parts};
 pub use message::{Request, Response, Rest};
 pub use reader::{Limits, ReadError, Reader};
+pub use segments::{Body, Outgoing};
 pub use server::{STOP_DELAY, Service, listen, serve};
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -9,6 +9,8 @@
 use http::{HeaderMap, Method, StatusCode};
 use tokio::time::Instant;
 
+use crate::segments::Body;
+
 /// Request that was read completely.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -19,7 +21,7 @@
     /// Header fields, without those that frame the message.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the sender keeps the connection open.
     pub keep_alive: bool,
     /// Whether the sender understands the chunked transfer coding.
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use http::Method;
@@ -13,8 +14,10 @@
 use tokio::time::Instant;
 
 use crate::body::Decoder;
+use crate::budget::Share;
 use crate::head::{self, RequestHead, ResponseHead};
 use crate::message::{Request, Response};
+use crate::segments::Segments;
 
 /// Largest number of informational responses before a final one.
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
@@ -22,6 +25,10 @@
 /// Free capacity of the buffer before each read, in bytes.
 const READ_CAPACITY_BYTES: usize = 8 * 1024;
 
+/// Memory of a header field in bytes, in addition to the largest head that counts
+/// while it is read.
+const FIELD_BYTES: usize = 256;
+
 /// Failure to read a complete message. The text becomes part of response bodies
 /// of the administration API.
 #[derive(Debug, Error)]
@@ -41,6 +48,9 @@
     /// The body exceeds the size limit.
     #[error("the body is too large")]
     BodyTooLarge,
+    /// The request was refused because the memory of the server is in use.
+    #[error("the memory of the server is in use")]
+    Overloaded,
 }
 
 /// Size limits of a message.
@@ -67,6 +77,8 @@
     response: Option<Incoming>,
     /// Informational responses since the last final one.
     informational: usize,
+    /// Share in the budget of the server, by which requests are read.
+    share: Option<Arc<Share>>,
 }
 
 /// Response that is being read.
@@ -89,9 +101,15 @@
             request: None,
             response: None,
             informational: 0,
+            share: None,
         }
     }
 
+    /// Counts requests towards a budget.
+    pub(crate) fn set_share(&mut self, share: Option<Arc<Share>>) {
+        self.share = share;
+    }
+
     /// Replaces the limits. The new limits apply to messages whose head has not
     /// been read yet.
     pub fn set_limits(&mut self, limits: Limits) {
@@ -130,7 +148,7 @@
             if let Some(request) = self.decode_request()? {
                 return Ok(Some(request));
             }
-            if self.fill().await? == 0 {
+            if self.fill_request().await? == 0 {
                 let truncated = self.is_within_message();
                 return if truncated {
                     Err(ReadError::Truncated)
@@ -231,6 +249,83 @@
         }
     }
 
+    /// Reads bytes of a request within the budget. An idle connection holds no
+    /// buffer.
+    async fn fill_request(&mut self) -> Result<usize, ReadError> {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+        loop {
+            self.stream.readable().await?;
+            if let Some(share) = &self.share {
+                share.reserve(self.held() + self.growth()).await?;
+            }
+            let read = match &mut self.request {
+                Some((_, decoder, _)) if self.buffer.is_empty() => match decoder.undecoded() {
+                    Some((segments, missing)) => {
+                        let read = self.stream.try_read_buf(&mut segments.room(missing));
+                        decoder.record(*read.as_ref().unwrap_or(&0));
+                        read
+                    }
+                    None => try_fill(&self.stream, &mut self.buffer),
+                },
+                _ => try_fill(&self.stream, &mut self.buffer),
+            };
+            match read {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.settle(0),
+                Err(error) => return Err(error.into()),
+                Ok(count) => {
+                    self.settle(count);
+                    return Ok(count);
+                }
+            }
+        }
+    }
+
+    /// Returns the memory of the request that is being read, in bytes.
+    fn held(&self) -> usize {
+        let buffer = match self.buffer.len() {
+            0 => 0,
+            // The start of the buffer may belong to bytes that were decoded.
+            _ => self.buffer.capacity().max(READ_CAPACITY_BYTES),
+        };
+        let request = self.request.as_ref().map_or(0, |(head, decoder, _)| {
+            let segments = decoder.segments().map_or(0, Segments::capacity);
+            segments + head.target.len() + head.headers.len() * FIELD_BYTES
+        });
+        buffer + request
+    }
+
+    /// Returns the largest number of bytes by which the next read increases the
+    /// memory of the request.
+    fn growth(&self) -> usize {
+        let Some((_, decoder, _)) = &self.request else {
+            return READ_CAPACITY_BYTES;
+        };
+        let missing = decoder.remaining();
+        let body = decoder.segments().map_or(0, |body| body.growth(missing));
+        if missing.is_some() && self.buffer.is_empty() {
+            body
+        } else {
+            READ_CAPACITY_BYTES + body
+        }
+    }
+
+    /// Counts the memory of the request towards the budget, after bytes were
+    /// received.
+    fn settle(&self, received: usize) {
+        if let Some(share) = &self.share {
+            share.settle(self.held(), received);
+        }
+    }
+
+    /// Gives up the request that is being read and its memory.
+    pub(crate) fn release(&mut self) {
+        self.buffer = BytesMut::new();
+        self.request = None;
+        self.settle(0);
+    }
+
     async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_CAPACITY_BYTES);
         self.stream.read_buf(&mut self.buffer).await
@@ -253,7 +348,7 @@
                 return Err(ReadError::HeadTooLarge);
             }
             let _ = self.buffer.split_to(length);
-            let decoder = Decoder::new(head.framing, self.limits.body)?;
+            let decoder = Decoder::complete(head.framing, self.limits.body)?;
             self.request = Some((head, decoder, Instant::now()));
         }
         let Some((_, decoder, _)) = &mut self.request else {
@@ -263,12 +358,14 @@
             return Ok(None);
         }
         self.started_at = None;
+        self.settle(0);
+        let hold = self.share.as_ref().map(|share| share.complete());
         let request = self.request.take();
         Ok(request.map(|(head, mut decoder, received)| Request {
             method: head.method,
             target: head.target,
             headers: head.headers,
-            body: decoder.take(),
+            body: decoder.take_segments().into_body(hold),
             keep_alive: head.keep_alive,
             accepts_chunks: head.http11,
             received,
@@ -337,3 +434,9 @@
         Ok(None)
     }
 }
+
+/// Reads available bytes to the end of a buffer.
+fn try_fill(stream: &OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<usize> {
+    buffer.reserve(READ_CAPACITY_BYTES);
+    stream.try_read_buf(buffer)
+}
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::future::ready;
+use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +10,8 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
-use http::{Method, StatusCode};
+use http::header::RETRY_AFTER;
+use http::{HeaderValue, Method, StatusCode};
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -19,6 +21,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::Framing;
+use crate::budget::{Budget, Hold, Phase, RECEIVE_BUFFER_BYTES, Share};
 use crate::message::{Request, Response};
 use crate::output::Output;
 use crate::reader::{Limits, ReadError, Reader};
@@ -41,6 +44,10 @@
 /// Default for the time limits of a connection.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// `Retry-After` in seconds of a request that is refused for lack of memory: the time
+/// in which stalled requests give up theirs.
+const OVERLOAD_RETRY_AFTER: &str = "1";
+
 /// Delay after a failure to accept a connection, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -80,6 +87,12 @@
         None
     }
 
+    /// Returns the budget to which the connections count; `None` for a service that
+    /// only trusted callers reach.
+    fn budget(&self) -> Option<&Budget> {
+        None
+    }
+
     /// Serves a request. The future is dropped when the caller disconnects.
     fn call(self: Arc<Self>, request: Request) -> impl Future<Output = Response> + Send;
 }
@@ -94,15 +107,21 @@
     connections: TaskTracker,
 ) {
     let mut stopped = pin!(stopped(&stop));
+    if service.budget().is_some()
+        && let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+    {
+        log::debug!(target: "entry", "event=receive-buffer-failed error=\"{error}\"");
+    }
     loop {
         let accepted = tokio::select! {
             biased;
             () = &mut stopped => return,
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, service.budget()) => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(serve(stream, Arc::clone(&service), stop.clone()));
+            Ok(stream) => {
+                let share = service.budget().map(Budget::admit);
+                connections.spawn(run(stream, Arc::clone(&service), stop.clone(), share));
             }
             Err(error) => {
                 log::warn!(target: "entry", "event=accept-failed error=\"{error}\"");
@@ -115,6 +134,26 @@
 /// Serves the requests of a connection until the connection ends. From 100 ms
 /// after `stop` is cancelled, no further request is read.
 pub async fn serve<S: Service>(stream: TcpStream, service: Arc<S>, stop: CancellationToken) {
+    let share = service.budget().map(Budget::admit);
+    run(stream, service, stop, share).await;
+}
+
+/// Accepts a connection and waits until the budget allows it.
+async fn accept(listener: &TcpListener, budget: Option<&Budget>) -> io::Result<TcpStream> {
+    let (stream, _) = listener.accept().await?;
+    if let Some(budget) = budget {
+        budget.connection_available().await;
+    }
+    Ok(stream)
+}
+
+/// Serves the requests of a connection that counts to a budget with its share.
+async fn run<S: Service>(
+    stream: TcpStream,
+    service: Arc<S>,
+    stop: CancellationToken,
+    share: Option<Share>,
+) {
     // Without TCP_NODELAY, small responses wait for delayed acknowledgements.
     // Setting the option fails only on a connection that has already ended.
     let _ = stream.set_nodelay(true);
@@ -125,7 +164,9 @@
     }
     let (read, mut writer) = stream.into_split();
     let mut reader = Reader::new(read, service.limits());
-    if !run_exchanges(&mut reader, &mut writer, &service, &stop).await {
+    let share = share.map(Arc::new);
+    reader.set_share(share.clone());
+    if !run_exchanges(&mut reader, &mut writer, &service, &stop, share.as_deref()).await {
         // Dropping the writer would shut the connection down gracefully, which
         // can make a response that broke off look complete.
         writer.forget();
@@ -143,6 +184,8 @@
     response: Response,
     method: Method,
     accepts_chunks: bool,
+    /// Memory of the response.
+    hold: Option<Hold>,
 }
 
 /// Runs the exchanges of a connection; returns whether the connection can be
@@ -152,12 +195,17 @@
     writer: &mut OwnedWriteHalf,
     service: &Arc<S>,
     stop: &CancellationToken,
+    share: Option<&Share>,
 ) -> bool {
     let mut pending = FuturesOrdered::new();
     // Answers that wait for the one that is being written.
     let mut queue: VecDeque<Answer> = VecDeque::new();
     let mut output: Option<Output> = None;
+    // Memory of the response that is being written.
+    let mut output_hold: Option<Hold> = None;
     let mut last = false;
+    // Whether the request that was being read was given up for others.
+    let mut refused = false;
     // Whether only a request that has arrived in part is still read.
     let mut stopping = false;
     let mut idle_since = Instant::now();
@@ -174,7 +222,13 @@
             // those may have run.
             let is_closing = service.is_closing() || stop.is_cancelled();
             last |= is_closing && is_newest && !mid_message;
-            output = Some(start_output(answer, last && is_newest));
+            let closes = last && is_newest;
+            let (response, hold) = start_output(answer, closes);
+            output = Some(response);
+            output_hold = hold;
+        }
+        if let Some(share) = share {
+            share.set_phase(phase(output.is_some(), pending.is_empty()));
         }
         let is_idle = output.is_none() && pending.is_empty();
         if last && is_idle {
@@ -185,11 +239,33 @@
         let write_deadline = output.as_ref().and_then(Output::deadline);
         tokio::select! {
             biased;
-            Some(answer) = pending.next(), if !pending.is_empty() => queue.push_back(answer),
+            closes = evicted(share), if !refused => {
+                if closes {
+                    return false;
+                }
+                refused = true;
+                reader.release();
+                if !last {
+                    last = true;
+                    let call = ready(error_response(&ReadError::Overloaded));
+                    pending.push_back(pending_answer(call, Method::GET, true));
+                }
+            }
+            Some(mut answer) = pending.next(), if !pending.is_empty() => {
+                answer.hold = share.map(|share| share.budget().hold(answer.response.body.len()));
+                queue.push_back(answer);
+            }
             written = advance(&mut output, writer), if output.is_some() => match written {
-                Ok(None) => {}
+                Ok(None) => {
+                    if let Some(share) = share {
+                        share.record_written();
+                    }
+                }
                 Ok(Some(Framing::Close)) => return true,
-                Ok(Some(_)) => idle_since = Instant::now(),
+                Ok(Some(_)) => {
+                    idle_since = Instant::now();
+                    drop(output_hold.take());
+                }
                 Err(()) => return false,
             },
             read = read_request(reader, last), if reading || last => match read {
@@ -206,6 +282,7 @@
                 Ok(None) | Err(ReadError::Io(_) | ReadError::Truncated) => return false,
                 Err(error) => {
                     last = true;
+                    reader.release();
                     let call = ready(error_response(&error));
                     pending.push_back(pending_answer(call, Method::GET, true));
                 }
@@ -220,6 +297,7 @@
                 if deadline(reader, service.as_ref(), idle_since, is_idle) <= Instant::now() {
                     last = true;
                     if reader.is_within_message() {
+                        reader.release();
                         let call = ready(Response::new(StatusCode::REQUEST_TIMEOUT, Bytes::new()));
                         pending.push_back(pending_answer(call, Method::GET, true));
                     }
@@ -231,10 +309,31 @@
 
 /// Starts to write an answer. `closes` states whether the connection ends with
 /// it.
-fn start_output(answer: Answer, closes: bool) -> Output {
+fn start_output(answer: Answer, closes: bool) -> (Output, Option<Hold>) {
     let mut response = answer.response;
     response.keep_alive = !closes;
-    Output::new(response, &answer.method, answer.accepts_chunks)
+    let output = Output::new(response, &answer.method, answer.accepts_chunks);
+    (output, answer.hold)
+}
+
+/// Returns what a connection is doing.
+fn phase(is_writing: bool, is_idle: bool) -> Phase {
+    if is_writing {
+        Phase::Writing
+    } else if is_idle {
+        Phase::Idle
+    } else {
+        Phase::Serving
+    }
+}
+
+/// Waits until the request that is being read is to be given up. Returns whether the
+/// connection is to be closed.
+async fn evicted(share: Option<&Share>) -> bool {
+    match share {
+        Some(share) => share.evicted().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Writes a part of a response. Returns the framing of its body once the response
@@ -288,6 +387,7 @@
             response: call.await,
             method,
             accepts_chunks,
+            hold: None,
         }
     })
 }
@@ -317,7 +417,13 @@
     let status = match error {
         ReadError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         ReadError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        ReadError::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::BAD_REQUEST,
     };
-    Response::new(status, Bytes::new())
+    let mut response = Response::new(status, Bytes::new());
+    if matches!(error, ReadError::Overloaded) {
+        let retry_after = HeaderValue::from_static(OVERLOAD_RETRY_AFTER);
+        response.headers.insert(RETRY_AFTER, retry_after);
+    }
+    response
 }
--- a/crates/http1/tests/all/fixture.rs
+++ b/crates/http1/tests/all/fixture.rs
@@ -91,7 +91,9 @@
         tokio::time::sleep(Duration::from_millis(ms)).await;
         self.finished.fetch_add(1, Ordering::SeqCst);
         let mut body = request.target.into_bytes();
-        body.extend_from_slice(&request.body);
+        for part in request.body.parts() {
+            body.extend_from_slice(part);
+        }
         Response::new(StatusCode::OK, body.into())
     }
 }
