--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of HTTP/1.1 connections.
 
+mod budget;
 mod client;
 mod fixture;
 mod fuzz;
