Count relayed responses and lookups towards the budget of an entry

A response of which a part is still to come counts with what the kernel receives of it while its caller is slow; receive buffers of targets are limited to 128 KiB. A log line, at most one a second, states how many requests were refused and connections closed. The service trait and the reading within the budget have files of their own.

--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -28,6 +28,10 @@
 /// the connection to be reused.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
+/// Size of the kernel's receive buffer of a connection in bytes. It holds what a target
+/// sends while the caller is slow. A target 6 ms away can still send 20 MB per second.
+const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Largest number of late copies that are skipped before a response.
 const MAX_LATE_COPIES: usize = 2;
 
@@ -113,6 +117,8 @@
         self.opened.inc();
         // Responses are relayed in parts, so their size is not limited.
         let connection = Connection::open(endpoint.address, CONNECT_TIMEOUT, u64::MAX).await?;
+        // Fails only on a connection that has already ended.
+        let _ = connection.limit_receive_buffer(RECEIVE_BUFFER_BYTES);
         Ok(Upstream {
             connection,
             last_attempt: None,
--- a/crates/http1/src/budget.rs
+++ b/crates/http1/src/budget.rs
@@ -89,6 +89,12 @@
     in_service: usize,
     next_id: u64,
     holders: HashMap<u64, Holder>,
+    /// Requests that were refused since the start.
+    refused: u64,
+    /// Connections that were closed for others since the start.
+    closed: u64,
+    /// Time of the last log line.
+    logged: Option<Instant>,
 }
 
 /// Share of one connection in a budget.
--- a/crates/http1/src/budget/victim.rs
+++ b/crates/http1/src/budget/victim.rs
@@ -24,6 +24,9 @@
 /// exceed the memory.
 const WRITE_STALL_TIME: Duration = Duration::from_secs(2);
 
+/// Shortest time between two log lines.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -191,5 +194,22 @@
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.evict(closes);
         }
+        if closes {
+            self.closed += 1;
+        } else {
+            self.refused += 1;
+        }
+        let now = Instant::now();
+        if self
+            .logged
+            .is_none_or(|logged| now - logged >= LOG_INTERVAL)
+        {
+            self.logged = Some(now);
+            log::warn!(
+                target: "caller",
+                "event=over-budget refused={} closed={} held={} connections={}",
+                self.refused, self.closed, self.held, self.holders.len()
+            );
+        }
     }
 }
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -106,6 +106,17 @@
         })
     }
 
+    /// Limits the bytes that the kernel receives ahead of the reader. The kernel
+    /// counts twice as much memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection has ended.
+    pub fn limit_receive_buffer(&self, bytes: usize) -> io::Result<()> {
+        let stream: &TcpStream = self.writer.as_ref();
+        SockRef::from(stream).set_recv_buffer_size(bytes)
+    }
+
     /// Returns the time since the last exchange ended, or since the connection
     /// was opened.
     #[must_use]
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -20,6 +20,7 @@
 mod reader;
 mod segments;
 mod server;
+mod service;
 
 pub use budget::{Budget, Capacity};
 pub use client::{Connection, ExchangeError, OpenError};
@@ -27,4 +28,5 @@
 pub use message::{Request, Response, Rest};
 pub use reader::{Limits, ReadError, Reader};
 pub use segments::{Body, Outgoing};
-pub use server::{STOP_DELAY, Service, listen, serve};
+pub use server::{STOP_DELAY, listen, serve};
+pub use service::Service;
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -1,5 +1,7 @@
 //! Reading of messages from a connection.
 
+mod budgeted;
+
 use std::io;
 use std::mem::MaybeUninit;
 use std::sync::Arc;
@@ -17,7 +19,6 @@
 use crate::budget::Share;
 use crate::head::{self, RequestHead, ResponseHead};
 use crate::message::{Request, Response};
-use crate::segments::Segments;
 
 /// Largest number of informational responses before a final one.
 const MAX_INFORMATIONAL_RESPONSES: usize = 16;
@@ -25,10 +26,6 @@
 /// Free capacity of the buffer before each read, in bytes.
 const READ_CAPACITY_BYTES: usize = 8 * 1024;
 
-/// Memory of a header field in bytes, in addition to the largest head that counts
-/// while it is read.
-const FIELD_BYTES: usize = 256;
-
 /// Failure to read a complete message. The text becomes part of response bodies
 /// of the administration API.
 #[derive(Debug, Error)]
@@ -249,83 +246,6 @@
         }
     }
 
-    /// Reads bytes of a request within the budget. An idle connection holds no
-    /// buffer.
-    async fn fill_request(&mut self) -> Result<usize, ReadError> {
-        if self.buffer.is_empty() {
-            self.buffer = BytesMut::new();
-        }
-        loop {
-            self.stream.readable().await?;
-            if let Some(share) = &self.share {
-                share.reserve(self.held() + self.growth()).await?;
-            }
-            let read = match &mut self.request {
-                Some((_, decoder, _)) if self.buffer.is_empty() => match decoder.undecoded() {
-                    Some((segments, missing)) => {
-                        let read = self.stream.try_read_buf(&mut segments.room(missing));
-                        decoder.record(*read.as_ref().unwrap_or(&0));
-                        read
-                    }
-                    None => try_fill(&self.stream, &mut self.buffer),
-                },
-                _ => try_fill(&self.stream, &mut self.buffer),
-            };
-            match read {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.settle(0),
-                Err(error) => return Err(error.into()),
-                Ok(count) => {
-                    self.settle(count);
-                    return Ok(count);
-                }
-            }
-        }
-    }
-
-    /// Returns the memory of the request that is being read, in bytes.
-    fn held(&self) -> usize {
-        let buffer = match self.buffer.len() {
-            0 => 0,
-            // The start of the buffer may belong to bytes that were decoded.
-            _ => self.buffer.capacity().max(READ_CAPACITY_BYTES),
-        };
-        let request = self.request.as_ref().map_or(0, |(head, decoder, _)| {
-            let segments = decoder.segments().map_or(0, Segments::capacity);
-            segments + head.target.len() + head.headers.len() * FIELD_BYTES
-        });
-        buffer + request
-    }
-
-    /// Returns the largest number of bytes by which the next read increases the
-    /// memory of the request.
-    fn growth(&self) -> usize {
-        let Some((_, decoder, _)) = &self.request else {
-            return READ_CAPACITY_BYTES;
-        };
-        let missing = decoder.remaining();
-        let body = decoder.segments().map_or(0, |body| body.growth(missing));
-        if missing.is_some() && self.buffer.is_empty() {
-            body
-        } else {
-            READ_CAPACITY_BYTES + body
-        }
-    }
-
-    /// Counts the memory of the request towards the budget, after bytes were
-    /// received.
-    fn settle(&self, received: usize) {
-        if let Some(share) = &self.share {
-            share.settle(self.held(), received);
-        }
-    }
-
-    /// Gives up the request that is being read and its memory.
-    pub(crate) fn release(&mut self) {
-        self.buffer = BytesMut::new();
-        self.request = None;
-        self.settle(0);
-    }
-
     async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_CAPACITY_BYTES);
         self.stream.read_buf(&mut self.buffer).await
@@ -434,9 +354,3 @@
         Ok(None)
     }
 }
-
-/// Reads available bytes to the end of a buffer.
-fn try_fill(stream: &OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<usize> {
-    buffer.reserve(READ_CAPACITY_BYTES);
-    stream.try_read_buf(buffer)
-}
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -24,7 +24,8 @@
 use crate::budget::{Budget, Hold, Phase, RECEIVE_BUFFER_BYTES, Share};
 use crate::message::{Request, Response};
 use crate::output::Output;
-use crate::reader::{Limits, ReadError, Reader};
+use crate::reader::{ReadError, Reader};
+use crate::service::Service;
 
 /// Largest number of requests that one connection serves concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 16;
@@ -38,65 +39,17 @@
 /// still accepted.
 pub const STOP_DELAY: Duration = Duration::from_millis(100);
 
-/// Default limit for the head of a request, in bytes.
-const DEFAULT_HEAD_BYTES: usize = 8 * 1024;
-
-/// Default for the time limits of a connection.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// `Retry-After` in seconds of a request that is refused for lack of memory: the time
 /// in which stalled requests give up theirs.
 const OVERLOAD_RETRY_AFTER: &str = "1";
 
+/// Memory of a response of which a part is still to come, in bytes: what the kernel
+/// receives of it while the caller is slow.
+const RELAYED_BYTES: usize = 256 * 1024;
+
 /// Delay after a failure to accept a connection, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Handler for the requests of a connection.
-pub trait Service: Send + Sync + 'static {
-    /// Returns the size limits for the next request. By default a request has a
-    /// small head and no body.
-    fn limits(&self) -> Limits {
-        Limits {
-            head: DEFAULT_HEAD_BYTES,
-            body: 0,
-        }
-    }
-
-    /// Returns the time within which the head of a request must arrive, from
-    /// its first byte.
-    fn head_timeout(&self) -> Duration {
-        DEFAULT_TIMEOUT
-    }
-
-    /// Returns the time for which a connection without requests is kept open. A
-    /// request with a body must be complete within the same time from its first
-    /// byte.
-    fn idle_timeout(&self) -> Duration {
-        DEFAULT_TIMEOUT
-    }
-
-    /// Returns whether connections are to be closed after the requests in
-    /// progress.
-    fn is_closing(&self) -> bool {
-        false
-    }
-
-    /// Returns the size of the kernel's send buffer of a connection in bytes, or
-    /// `None` for the system's default.
-    fn send_buffer(&self) -> Option<usize> {
-        None
-    }
-
-    /// Returns the budget to which the connections count; `None` for a service that
-    /// only trusted callers reach.
-    fn budget(&self) -> Option<&Budget> {
-        None
-    }
-
-    /// Serves a request. The future is dropped when the caller disconnects.
-    fn call(self: Arc<Self>, request: Request) -> impl Future<Output = Response> + Send;
-}
-
 /// Serves the connections of a listener. From 100 ms after `stop` is cancelled, no
 /// further connection is accepted and no further request is read; `connections`
 /// tracks the open connections.
@@ -247,12 +200,11 @@
                 reader.release();
                 if !last {
                     last = true;
-                    let call = ready(error_response(&ReadError::Overloaded));
-                    pending.push_back(pending_answer(call, Method::GET, true));
+                    pending.push_back(ready_answer(error_response(&ReadError::Overloaded)));
                 }
             }
             Some(mut answer) = pending.next(), if !pending.is_empty() => {
-                answer.hold = share.map(|share| share.budget().hold(answer.response.body.len()));
+                answer.hold = share.map(|share| hold(share, &answer.response));
                 queue.push_back(answer);
             }
             written = advance(&mut output, writer), if output.is_some() => match written {
@@ -283,8 +235,7 @@
                 Err(error) => {
                     last = true;
                     reader.release();
-                    let call = ready(error_response(&error));
-                    pending.push_back(pending_answer(call, Method::GET, true));
+                    pending.push_back(ready_answer(error_response(&error)));
                 }
             },
             () = &mut stopped, if !last && !stopping => {
@@ -298,8 +249,8 @@
                     last = true;
                     if reader.is_within_message() {
                         reader.release();
-                        let call = ready(Response::new(StatusCode::REQUEST_TIMEOUT, Bytes::new()));
-                        pending.push_back(pending_answer(call, Method::GET, true));
+                        let response = Response::new(StatusCode::REQUEST_TIMEOUT, Bytes::new());
+                        pending.push_back(ready_answer(response));
                     }
                 }
             }
@@ -316,6 +267,12 @@
     (output, answer.hold)
 }
 
+/// Counts a response towards the budget.
+fn hold(share: &Share, response: &Response) -> Hold {
+    let rest = response.rest.as_ref().map_or(0, |_| RELAYED_BYTES);
+    share.budget().hold(response.body.len() + rest)
+}
+
 /// Returns what a connection is doing.
 fn phase(is_writing: bool, is_idle: bool) -> Phase {
     if is_writing {
@@ -392,6 +349,11 @@
     })
 }
 
+/// Returns an answer that does not wait for the service.
+fn ready_answer(response: Response) -> PendingAnswer {
+    pending_answer(ready(response), Method::GET, true)
+}
+
 /// Reads the next request. After the last request, discards input until the
 /// caller disconnects.
 async fn read_request(reader: &mut Reader, last: bool) -> Result<Option<Request>, ReadError> {
--- a/crates/http1/tests/all/budget.rs
+++ b/crates/http1/tests/all/budget.rs
@@ -97,7 +97,7 @@
 #[tokio::test]
 async fn a_body_in_several_parts_is_complete() {
     let (address, _) = server(10, 10).await;
-    let body: Vec<u8> = (0..LARGE).map(|index| (index % 251) as u8).collect();
+    let body: Vec<u8> = (0..=250).cycle().take(LARGE).collect();
     let sum: u64 = body.iter().map(|byte| u64::from(*byte)).sum();
     let mut chunked = b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n".to_vec();
     for chunk in body.chunks(7001) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use carobdrift_gateway::{Dialect, Gateway, Listener, Metrics, Suspension};
+use carobdrift_http1::Budget;
 use carobdrift_peers::{Data, Heartbeat, Peers, Phase, StoreHealth, Targets, Update, Watermark};
 use carobdrift_routing::{Difference, History, State};
 use carobdrift_units::{Version, Zone};
@@ -195,6 +196,12 @@
         self.shared.phase() == Phase::Ready
     }
 
+    /// Returns the budget of the connections of callers.
+    #[must_use]
+    pub fn budget(&self) -> &Budget {
+        self.shared.gateway.budget()
+    }
+
     /// Returns the caller addresses of the entries that callers of a host should
     /// use, and the TTL of the answer. There are no addresses while no entry is
     /// ready.
