Close refused connections when others need their places

A connection that was refused is read for a second, so that its caller gets the response. In that time it could not be closed in favour of another connection.

--- a/crates/http1/src/budget.rs
+++ b/crates/http1/src/budget.rs
@@ -302,16 +302,28 @@
     pub(crate) async fn evicted(&self) -> bool {
         loop {
             let notified = self.evicted.notified();
-            {
-                let ledger = self.budget.lock();
-                let holder = ledger.holders.get(&self.id);
-                if let Some(closes) = holder.and_then(|holder| holder.evicted) {
-                    return closes;
-                }
+            if let Some(closes) = self.eviction() {
+                return closes;
             }
             notified.await;
         }
     }
+
+    /// Waits until the connection is to be closed.
+    pub(crate) async fn closed(&self) {
+        loop {
+            let notified = self.evicted.notified();
+            if self.eviction() == Some(true) {
+                return;
+            }
+            notified.await;
+        }
+    }
+
+    fn eviction(&self) -> Option<bool> {
+        let ledger = self.budget.lock();
+        ledger.holders.get(&self.id)?.evicted
+    }
 }
 
 impl Drop for Share {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -18,6 +18,7 @@
 mod message;
 mod output;
 mod reader;
+mod refusal;
 mod segments;
 mod server;
 mod service;
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -10,8 +10,7 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
-use http::header::RETRY_AFTER;
-use http::{HeaderValue, Method, StatusCode};
+use http::{Method, StatusCode};
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
@@ -25,6 +24,7 @@
 use crate::message::{Request, Response};
 use crate::output::Output;
 use crate::reader::{ReadError, Reader};
+use crate::refusal::error_response;
 use crate::service::Service;
 
 /// Largest number of requests that one connection serves concurrently.
@@ -39,10 +39,6 @@
 /// still accepted.
 pub const STOP_DELAY: Duration = Duration::from_millis(100);
 
-/// `Retry-After` in seconds of a request that is refused for lack of memory: the time
-/// in which stalled requests give up theirs.
-const OVERLOAD_RETRY_AFTER: &str = "1";
-
 /// Memory of a response of which a part is still to come, in bytes: what the kernel
 /// receives of it while the caller is slow.
 const RELAYED_BYTES: usize = 256 * 1024;
@@ -128,7 +124,10 @@
     if writer.shutdown().await.is_ok() {
         // The time-out bounds the wait for a peer that does not close the
         // connection.
-        let _ = timeout(LINGER_TIMEOUT, reader.discard()).await;
+        tokio::select! {
+            _ = timeout(LINGER_TIMEOUT, reader.discard()) => {}
+            () = closed(share.as_deref()) => {}
+        }
     }
 }
 
@@ -284,6 +283,14 @@
     }
 }
 
+/// Waits until the connection is to be closed.
+async fn closed(share: Option<&Share>) {
+    match share {
+        Some(share) => share.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until the request that is being read is to be given up. Returns whether the
 /// connection is to be closed.
 async fn evicted(share: Option<&Share>) -> bool {
@@ -374,18 +381,3 @@
         None => Instant::now() + service.idle_timeout(),
     }
 }
-
-fn error_response(error: &ReadError) -> Response {
-    let status = match error {
-        ReadError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        ReadError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        ReadError::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
-        _ => StatusCode::BAD_REQUEST,
-    };
-    let mut response = Response::new(status, Bytes::new());
-    if matches!(error, ReadError::Overloaded) {
-        let retry_after = HeaderValue::from_static(OVERLOAD_RETRY_AFTER);
-        response.headers.insert(RETRY_AFTER, retry_after);
-    }
-    response
-}
--- a/crates/http1/tests/all/budget.rs
+++ b/crates/http1/tests/all/budget.rs
@@ -231,3 +231,26 @@
     assert!(served.starts_with("HTTP/1.1 200"), "{served}");
     assert_eq!(other, Some(StatusCode::OK));
 }
+
+/// Guards against refused callers that keep the places of others while they do not
+/// close their connections.
+#[tokio::test]
+async fn refused_connections_do_not_keep_their_places() {
+    let (address, _) = server(1, 10).await;
+    let mut refused = Vec::new();
+    let refuse_ten = async {
+        for _ in 0..10 {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(b"no request\r\n\r\n").await.unwrap();
+            let mut start = [0; 12];
+            stream.read_exact(&mut start).await.unwrap();
+            refused.push(stream);
+        }
+        get(address).await
+    };
+
+    // Each would keep its place for a second.
+    let status = tokio::time::timeout(Duration::from_secs(8), refuse_ten).await;
+
+    assert_eq!(status, Ok(Some(StatusCode::OK)));
+}
