--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,8 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use carobdrift_http1::{Connection, ExchangeError, OpenError, Response};
+use carobdrift_http1::{Connection, ExchangeError, OpenError, Outgoing, Response};
 use carobdrift_placement::Endpoint;
 use carobdrift_units::Target;
 use http::Method;
@@ -29,6 +28,10 @@
 /// the connection to be reused.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(1);
 
+/// Size of the kernel's receive buffer of a connection in bytes. It holds what a target
+/// sends while the caller is slow. A target 6 ms away can still send 20 MB per second.
+const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
+
 /// Largest number of late copies that are skipped before a response.
 const MAX_LATE_COPIES: usize = 2;
 
@@ -62,7 +65,7 @@
         &mut self,
         attempt: Option<&str>,
         method: &Method,
-        request: Bytes,
+        request: impl Into<Outgoing>,
         window: usize,
         sent: &mut usize,
         dialect: &dyn Dialect,
@@ -114,6 +117,8 @@
         self.opened.inc();
         // Responses are relayed in parts, so their size is not limited.
         let connection = Connection::open(endpoint.address, CONNECT_TIMEOUT, u64::MAX).await?;
+        // Fails only on a connection that has already ended.
+        let _ = connection.limit_receive_buffer(RECEIVE_BUFFER_BYTES);
         Ok(Upstream {
             connection,
             last_attempt: None,
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -1,7 +1,10 @@
 //! Reading of messages from a connection.
 
+mod budgeted;
+
 use std::io;
 use std::mem::MaybeUninit;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -14,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::body::Decoder;
+use crate::budget::Share;
 use crate::head::{self, RequestHead};
 use crate::message::{Request, Response};
 use crate::response::ResponseDecoder;
@@ -40,6 +44,9 @@
     /// The body exceeds the size limit.
     #[error("the body is too large")]
     BodyTooLarge,
+    /// The request was refused because the memory of the server is in use.
+    #[error("the memory of the server is in use")]
+    Overloaded,
 }
 
 /// Size limits of a message.
@@ -70,6 +77,8 @@
     responses: ResponseDecoder,
     /// First failure of the connection, in either direction.
     failure: Option<io::ErrorKind>,
+    /// Share in the budget of the server, by which requests are read.
+    share: Option<Arc<Share>>,
 }
 
 impl Reader {
@@ -86,9 +95,15 @@
             request: None,
             responses: ResponseDecoder::new(limits),
             failure: None,
+            share: None,
         }
     }
 
+    /// Counts requests towards a budget.
+    pub(crate) fn set_share(&mut self, share: Option<Arc<Share>>) {
+        self.share = share;
+    }
+
     /// Replaces the limits. The new limits apply to messages whose head has not
     /// been read yet.
     pub fn set_limits(&mut self, limits: Limits) {
@@ -128,7 +143,7 @@
             if let Some(request) = self.decode_request()? {
                 return Ok(Some(request));
             }
-            if self.fill().await? == 0 {
+            if self.fill_request().await? == 0 {
                 let truncated = self.is_within_message();
                 return if truncated {
                     Err(ReadError::Truncated)
@@ -290,7 +305,7 @@
                 return Err(ReadError::HeadTooLarge);
             }
             let _ = self.buffer.split_to(length);
-            let decoder = Decoder::new(head.framing, self.limits.body)?;
+            let decoder = Decoder::complete(head.framing, self.limits.body)?;
             self.request = Some((head, decoder));
         }
         let Some((_, decoder)) = &mut self.request else {
@@ -300,13 +315,15 @@
             return Ok(None);
         }
         self.started_at = None;
+        self.settle(0);
+        let hold = self.share.as_ref().map(|share| share.complete());
         let received = self.arrived_at.take().unwrap_or(self.filled_at);
         let request = self.request.take();
         Ok(request.map(|(head, mut decoder)| Request {
             method: head.method,
             target: head.target,
             headers: head.headers,
-            body: decoder.take(),
+            body: decoder.take_segments().into_body(hold),
             keep_alive: head.keep_alive,
             accepts_chunks: head.http11,
             received,
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::future::ready;
+use std::io;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,9 +20,12 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::Framing;
+use crate::budget::{Budget, Hold, Phase, RECEIVE_BUFFER_BYTES, Share};
 use crate::message::{Request, Response};
 use crate::output::Output;
-use crate::reader::{Limits, ReadError, Reader};
+use crate::reader::{ReadError, Reader};
+use crate::refusal::error_response;
+use crate::service::Service;
 
 /// Largest number of requests that one connection serves concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 16;
@@ -35,55 +39,13 @@
 /// still accepted.
 pub const STOP_DELAY: Duration = Duration::from_millis(100);
 
-/// Default limit for the head of a request, in bytes.
-const DEFAULT_HEAD_BYTES: usize = 8 * 1024;
-
-/// Default for the time limits of a connection.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Memory of a response of which a part is still to come, in bytes: what the kernel
+/// receives of it while the caller is slow.
+const RELAYED_BYTES: usize = 256 * 1024;
 
 /// Delay after a failure to accept a connection, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Handler for the requests of a connection.
-pub trait Service: Send + Sync + 'static {
-    /// Returns the size limits for the next request. By default a request has a
-    /// small head and no body.
-    fn limits(&self) -> Limits {
-        Limits {
-            head: DEFAULT_HEAD_BYTES,
-            body: 0,
-        }
-    }
-
-    /// Returns the time within which the head of a request must arrive, from
-    /// its first byte.
-    fn head_timeout(&self) -> Duration {
-        DEFAULT_TIMEOUT
-    }
-
-    /// Returns the time for which a connection without requests is kept open. A
-    /// request with a body must be complete within the same time from its first
-    /// byte.
-    fn idle_timeout(&self) -> Duration {
-        DEFAULT_TIMEOUT
-    }
-
-    /// Returns whether connections are to be closed after the requests in
-    /// progress.
-    fn is_closing(&self) -> bool {
-        false
-    }
-
-    /// Returns the size of the kernel's send buffer of a connection in bytes, or
-    /// `None` for the system's default.
-    fn send_buffer(&self) -> Option<usize> {
-        None
-    }
-
-    /// Serves a request. The future is dropped when the caller disconnects.
-    fn call(self: Arc<Self>, request: Request) -> impl Future<Output = Response> + Send;
-}
-
 /// Serves the connections of a listener. From 100 ms after `stop` is cancelled, no
 /// further connection is accepted and no further request is read; `connections`
 /// tracks the open connections.
@@ -94,15 +56,21 @@
     connections: TaskTracker,
 ) {
     let mut stopped = pin!(stopped(&stop));
+    if service.budget().is_some()
+        && let Err(error) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+    {
+        log::debug!(target: "entry", "event=receive-buffer-failed error=\"{error}\"");
+    }
     loop {
         let accepted = tokio::select! {
             biased;
             () = &mut stopped => return,
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, service.budget()) => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(serve(stream, Arc::clone(&service), stop.clone()));
+            Ok(stream) => {
+                let share = service.budget().map(Budget::admit);
+                connections.spawn(run(stream, Arc::clone(&service), stop.clone(), share));
             }
             Err(error) => {
                 log::warn!(target: "entry", "event=accept-failed error=\"{error}\"");
@@ -115,6 +83,26 @@
 /// Serves the requests of a connection until the connection ends. From 100 ms
 /// after `stop` is cancelled, no further request is read.
 pub async fn serve<S: Service>(stream: TcpStream, service: Arc<S>, stop: CancellationToken) {
+    let share = service.budget().map(Budget::admit);
+    run(stream, service, stop, share).await;
+}
+
+/// Accepts a connection and waits until the budget allows it.
+async fn accept(listener: &TcpListener, budget: Option<&Budget>) -> io::Result<TcpStream> {
+    let (stream, _) = listener.accept().await?;
+    if let Some(budget) = budget {
+        budget.connection_available().await;
+    }
+    Ok(stream)
+}
+
+/// Serves the requests of a connection that counts to a budget with its share.
+async fn run<S: Service>(
+    stream: TcpStream,
+    service: Arc<S>,
+    stop: CancellationToken,
+    share: Option<Share>,
+) {
     // Without TCP_NODELAY, small responses wait for delayed acknowledgements.
     // Setting the option fails only on a connection that has already ended.
     let _ = stream.set_nodelay(true);
@@ -125,7 +113,9 @@
     }
     let (read, mut writer) = stream.into_split();
     let mut reader = Reader::new(read, service.limits());
-    if !run_exchanges(&mut reader, &mut writer, &service, &stop).await {
+    let share = share.map(Arc::new);
+    reader.set_share(share.clone());
+    if !run_exchanges(&mut reader, &mut writer, &service, &stop, share.as_deref()).await {
         // Dropping the writer would shut the connection down gracefully, which
         // can make a response that broke off look complete.
         writer.forget();
@@ -134,7 +124,10 @@
     if writer.shutdown().await.is_ok() {
         // The time-out bounds the wait for a peer that does not close the
         // connection.
-        let _ = timeout(LINGER_TIMEOUT, reader.discard()).await;
+        tokio::select! {
+            _ = timeout(LINGER_TIMEOUT, reader.discard()) => {}
+            () = closed(share.as_deref()) => {}
+        }
     }
 }
 
@@ -143,6 +136,8 @@
     response: Response,
     method: Method,
     accepts_chunks: bool,
+    /// Memory of the response.
+    hold: Option<Hold>,
 }
 
 /// Runs the exchanges of a connection; returns whether the connection can be
@@ -152,12 +147,17 @@
     writer: &mut OwnedWriteHalf,
     service: &Arc<S>,
     stop: &CancellationToken,
+    share: Option<&Share>,
 ) -> bool {
     let mut pending = FuturesOrdered::new();
     // Answers that wait for the one that is being written.
     let mut queue: VecDeque<Answer> = VecDeque::new();
     let mut output: Option<Output> = None;
+    // Memory of the response that is being written.
+    let mut output_hold: Option<Hold> = None;
     let mut last = false;
+    // Whether the request that was being read was given up for others.
+    let mut refused = false;
     // Whether only a request that has arrived in part is still read.
     let mut stopping = false;
     let mut idle_since = Instant::now();
@@ -174,7 +174,13 @@
             // those may have run.
             let is_closing = service.is_closing() || stop.is_cancelled();
             last |= is_closing && is_newest && !mid_message;
-            output = Some(start_output(answer, last && is_newest));
+            let closes = last && is_newest;
+            let (response, hold) = start_output(answer, closes);
+            output = Some(response);
+            output_hold = hold;
+        }
+        if let Some(share) = share {
+            share.set_phase(phase(output.is_some(), pending.is_empty()));
         }
         let is_idle = output.is_none() && pending.is_empty();
         if last && is_idle {
@@ -185,6 +191,17 @@
         let write_deadline = output.as_ref().and_then(Output::deadline);
         tokio::select! {
             biased;
+            closes = evicted(share), if !refused => {
+                if closes {
+                    return false;
+                }
+                refused = true;
+                reader.release();
+                if !last {
+                    last = true;
+                    pending.push_back(ready_answer(error_response(&ReadError::Overloaded)));
+                }
+            }
             // First, so that the requests of a caller that left are cancelled before they
             // continue, also after a pause of the process.
             read = read_request(reader, last), if reading || last => match read {
@@ -203,15 +220,25 @@
                 Ok(None) | Err(ReadError::Io(_) | ReadError::Truncated) => return false,
                 Err(error) => {
                     last = true;
-                    let call = ready(error_response(&error));
-                    pending.push_back(pending_answer(call, Method::GET, true));
+                    reader.release();
+                    pending.push_back(ready_answer(error_response(&error)));
                 }
             },
-            Some(answer) = pending.next(), if !pending.is_empty() => queue.push_back(answer),
+            Some(mut answer) = pending.next(), if !pending.is_empty() => {
+                answer.hold = share.map(|share| hold(share, &answer.response));
+                queue.push_back(answer);
+            }
             written = advance(&mut output, writer), if output.is_some() => match written {
-                Ok(None) => {}
+                Ok(None) => {
+                    if let Some(share) = share {
+                        share.record_written();
+                    }
+                }
                 Ok(Some(Framing::Close)) => return true,
-                Ok(Some(_)) => idle_since = Instant::now(),
+                Ok(Some(_)) => {
+                    idle_since = Instant::now();
+                    drop(output_hold.take());
+                }
                 Err(()) => return false,
             },
             () = &mut stopped, if !last && !stopping => {
@@ -224,8 +251,9 @@
                 if deadline(reader, service.as_ref(), idle_since, is_idle) <= Instant::now() {
                     last = true;
                     if reader.is_within_message() {
-                        let call = ready(Response::new(StatusCode::REQUEST_TIMEOUT, Bytes::new()));
-                        pending.push_back(pending_answer(call, Method::GET, true));
+                        reader.release();
+                        let response = Response::new(StatusCode::REQUEST_TIMEOUT, Bytes::new());
+                        pending.push_back(ready_answer(response));
                     }
                 }
             }
@@ -235,10 +263,45 @@
 
 /// Starts to write an answer. `closes` states whether the connection ends with
 /// it.
-fn start_output(answer: Answer, closes: bool) -> Output {
+fn start_output(answer: Answer, closes: bool) -> (Output, Option<Hold>) {
     let mut response = answer.response;
     response.keep_alive = !closes;
-    Output::new(response, &answer.method, answer.accepts_chunks)
+    let output = Output::new(response, &answer.method, answer.accepts_chunks);
+    (output, answer.hold)
+}
+
+/// Counts a response towards the budget.
+fn hold(share: &Share, response: &Response) -> Hold {
+    let rest = response.rest.as_ref().map_or(0, |_| RELAYED_BYTES);
+    share.budget().hold(response.body.len() + rest)
+}
+
+/// Returns what a connection is doing.
+fn phase(is_writing: bool, is_idle: bool) -> Phase {
+    if is_writing {
+        Phase::Writing
+    } else if is_idle {
+        Phase::Idle
+    } else {
+        Phase::Serving
+    }
+}
+
+/// Waits until the connection is to be closed.
+async fn closed(share: Option<&Share>) {
+    match share {
+        Some(share) => share.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits until the request that is being read is to be given up. Returns whether the
+/// connection is to be closed.
+async fn evicted(share: Option<&Share>) -> bool {
+    match share {
+        Some(share) => share.evicted().await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Writes a part of a response. Returns the framing of its body once the response
@@ -292,10 +355,16 @@
             response: call.await,
             method,
             accepts_chunks,
+            hold: None,
         }
     })
 }
 
+/// Returns an answer that does not wait for the service.
+fn ready_answer(response: Response) -> PendingAnswer {
+    pending_answer(ready(response), Method::GET, true)
+}
+
 /// Reads the next request. After the last request, discards input until the
 /// caller disconnects.
 async fn read_request(reader: &mut Reader, last: bool) -> Result<Option<Request>, ReadError> {
@@ -316,12 +385,3 @@
         None => Instant::now() + service.idle_timeout(),
     }
 }
-
-fn error_response(error: &ReadError) -> Response {
-    let status = match error {
-        ReadError::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        ReadError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        _ => StatusCode::BAD_REQUEST,
-    };
-    Response::new(status, Bytes::new())
-}
