Bound the requests of workspaces by tokens that one entry grants

Entries admitted requests without regard to what others admitted, so a quota in sum over all entries could not be kept. One entry for each workspace now keeps a token bucket and grants tokens on demand; the others spend them before a target is selected, and answer 429 beyond.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -43,6 +43,11 @@
 }
 
 impl Completion {
+    /// Whether nothing of the request was sent.
+    pub(crate) fn is_unsent(&self) -> bool {
+        matches!(self, Self::NotSent | Self::Withdrawn | Self::Unauthorized)
+    }
+
     pub(crate) fn as_str(&self) -> &'static str {
         match self {
             Self::Answered(response) if response.status.is_server_error() => "server-error",
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use carobdrift_http1::{Request, Response};
+use carobdrift_quota::Token;
 use carobdrift_routing::host_name;
 use carobdrift_units::Target;
 use futures_util::StreamExt;
@@ -14,6 +15,7 @@
 use http::header::HOST;
 use tokio::time::{Instant, timeout_at};
 
+use crate::admission::{self, Permit, Spending};
 use crate::attempt::Completion;
 use crate::call::{Call, Destination};
 use crate::credential::Credential;
@@ -38,7 +40,9 @@
 struct Attempts {
     call: Arc<Call>,
     logged: bool,
-    running: FuturesUnordered<BoxFuture<'static, Completion>>,
+    running: FuturesUnordered<BoxFuture<'static, (Completion, Option<Token>)>>,
+    /// Permission by the quota of the workspace, if it has one.
+    permit: Option<Permit>,
     tried: Vec<Target>,
     /// Tried targets with the state by which they were chosen, for the log.
     choices: Vec<String>,
@@ -73,7 +77,6 @@
                 return refusal.response();
             }
         };
-        self.services.count_request(&call.service);
         let mut attempts = Attempts::new(Arc::clone(&call));
         let logged = match self.run_until_end(&call, &mut attempts).await {
             Ok(response) => LoggedResponse {
@@ -121,6 +124,16 @@
         Ok(Call::new(request, id, destination))
     }
 
+    /// Waits until the quota of the workspace admits a request. Returns `None` if there
+    /// is no quota.
+    async fn admit(&self, call: &Call, admitted: &str) -> Result<Option<Permit>, Refusal> {
+        let Some(key) = admission::key(call) else {
+            return Ok(None);
+        };
+        let permit = self.admission.admit(key, admitted).await;
+        permit.map(Some).map_err(Refusal::OverQuota)
+    }
+
     /// Runs the attempts of a request until the deadline of the request. If the entry
     /// ends before, a request that no target has is refused.
     async fn run_until_end(
@@ -153,11 +166,23 @@
         call: &Arc<Call>,
         attempts: &mut Attempts,
     ) -> Result<Response, Refusal> {
+        attempts.permit = self.admit(call, "admitted").await?;
+        self.services.count_request(&call.service);
         let mut hedge_at = None;
         loop {
             if attempts.running.is_empty() {
                 match self.place(call, &attempts.tried).await {
                     Ok(placement) => {
+                        if !attempts.may_spend() {
+                            // The token expired while the request waited for a target.
+                            if attempts.sends > 0 {
+                                return attempts.finish(call, Refusal::NotExecuted);
+                            }
+                            match self.admit(call, "renewed").await {
+                                Ok(permit) => attempts.permit = permit,
+                                Err(refusal) => return attempts.finish(call, refusal),
+                            }
+                        }
                         if call.is_idempotent() && attempts.sends == 0 {
                             hedge_at =
                                 Some(Instant::now() + self.services.estimate(&call.route).upper());
@@ -168,8 +193,8 @@
                 }
             }
             tokio::select! {
-                Some(completion) = attempts.running.next() => {
-                    if let Some(response) = attempts.complete(self, call, completion)? {
+                Some((completion, token)) = attempts.running.next() => {
+                    if let Some(response) = attempts.complete(self, call, completion, token)? {
                         return Ok(response);
                     }
                 }
@@ -187,10 +212,16 @@
     async fn hedge(self: &Arc<Self>, call: &Arc<Call>, attempts: &mut Attempts) {
         let service_time = self.services.estimate(&call.route).mean();
         let on_time = Instant::now() + service_time <= call.soft_deadline();
-        if !on_time || !attempts.may_send(call) || !self.services.try_spend_retry(&call.service) {
+        if !on_time
+            || !attempts.may_send(call)
+            || !attempts.may_spend()
+            || !self.services.try_spend_retry(&call.service)
+        {
             return;
         }
-        if let Ok(placement) = self.place(call, &attempts.tried).await {
+        if let Ok(placement) = self.place(call, &attempts.tried).await
+            && attempts.may_spend()
+        {
             attempts.start(self, call, placement);
         }
     }
@@ -210,6 +241,7 @@
             call,
             logged: false,
             running: FuturesUnordered::new(),
+            permit: None,
             tried: Vec::new(),
             choices: Vec::new(),
             sends: 0,
@@ -255,9 +287,16 @@
         self.tried.push(target.clone());
         let gateway = Arc::clone(gateway);
         let call = Arc::clone(call);
-        self.running.push(Box::pin(
-            async move { gateway.attempt(&call, placement).await },
-        ));
+        let spending = self.permit.as_mut().map(|permit| permit.spend(&call));
+        self.running.push(Box::pin(async move {
+            let completion = gateway.attempt(&call, placement).await;
+            (completion, spending.and_then(Spending::end))
+        }));
+    }
+
+    /// Whether the quota of the workspace permits another send without waiting.
+    fn may_spend(&mut self) -> bool {
+        self.permit.as_mut().is_none_or(Permit::prepare)
     }
 
     /// Whether the attempt limit of the route and the remaining time allow another
@@ -273,7 +312,13 @@
         gateway: &Gateway,
         call: &Call,
         completion: Completion,
+        token: Option<Token>,
     ) -> Result<Option<Response>, Refusal> {
+        if completion.is_unsent()
+            && let (Some(permit), Some(token)) = (&mut self.permit, token)
+        {
+            permit.put_back(token);
+        }
         let refusal = match completion {
             Completion::Answered(response) if !response.status.is_server_error() => {
                 return Ok(Some(response));
@@ -301,7 +346,11 @@
             return Ok(None);
         }
         let retryable = call.is_idempotent() || refusal == Refusal::NotExecuted;
-        if retryable && self.may_send(call) && gateway.services.try_spend_retry(&call.service) {
+        if retryable
+            && self.may_send(call)
+            && self.may_spend()
+            && gateway.services.try_spend_retry(&call.service)
+        {
             return Ok(None);
         }
         self.finish(call, refusal).map(Some)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use carobdrift_units::{Target, Version, Zone};
 use tokio_util::sync::CancellationToken;
 
+use crate::admission::Admission;
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -43,6 +44,7 @@
     pub(crate) services: Services,
     pub(crate) upstreams: Upstreams,
     pub(crate) metrics: Metrics,
+    pub(crate) admission: Arc<Admission>,
     table: ArcSwapOption<Table>,
     draining: AtomicBool,
     /// Cancelled when requests that are read from then on are refused.
@@ -67,6 +69,7 @@
             dialect,
             services: Services::new(settings.zone.clone(), retries),
             upstreams: Upstreams::new(metrics.connections.clone()),
+            admission: Arc::new(Admission::open(metrics.quota.clone())),
             metrics,
             table: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
@@ -139,6 +142,12 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// Returns the admission of requests by the limits of workspaces.
+    #[must_use]
+    pub fn admission(&self) -> &Arc<Admission> {
+        &self.admission
+    }
+
     /// Returns the number of requests since the start.
     #[must_use]
     pub fn request_count(&self) -> u64 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! the request may have been executed. The names of header fields come from a
 //! [`Dialect`], so this crate does not depend on a platform.
 
+mod admission;
 mod attempt;
 mod call;
 mod clock;
@@ -21,6 +22,7 @@
 mod services;
 mod upstream;
 
+pub use admission::Admission;
 pub use clock::Suspension;
 pub use dialect::Dialect;
 pub use gateway::{Gateway, Settings};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     pub(crate) attempts: IntCounterVec,
     pub(crate) probes: IntCounterVec,
     pub(crate) connections: IntCounter,
+    pub(crate) quota: IntCounterVec,
 }
 
 impl Metrics {
@@ -51,12 +52,20 @@
                 "carobdrift_target_connections_total",
                 "Connections opened to targets",
             )?,
+            quota: IntCounterVec::new(
+                Opts::new(
+                    "carobdrift_quota_requests_total",
+                    "Requests of workspaces with a quota, by outcome",
+                ),
+                &["workspace", "outcome"],
+            )?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.probes.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.quota.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -24,6 +24,9 @@
     NoRoute,
     /// The request has no API key that a workspace holds. Not executed.
     Unauthorized,
+    /// The quota of the workspace is used up; it admits a further request after this
+    /// time. Not executed.
+    OverQuota(Duration),
     /// No target accepts requests. Not executed.
     NoTarget,
     /// No target had a free slot in time. Not executed.
@@ -47,6 +50,7 @@
             Self::Leaving => "leaving",
             Self::NoRoute => "no-route",
             Self::Unauthorized => "unauthorized",
+            Self::OverQuota(_) => "over-quota",
             Self::NoTarget => "no-target",
             Self::Busy => "busy",
             Self::Paused(_) => "paused",
@@ -63,6 +67,7 @@
             Self::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::ZERO)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
             Self::Unauthorized => (StatusCode::UNAUTHORIZED, None),
+            Self::OverQuota(due) => (StatusCode::TOO_MANY_REQUESTS, Some(due)),
             Self::NoTarget | Self::Busy | Self::NotExecuted => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY_AFTER))
             }
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::node::Shared;
+use crate::quota;
 use crate::reader::Position;
 use crate::sources::Sources;
 use crate::start::{Data, Knowledge};
@@ -297,6 +298,12 @@
                     peers.relay(&delta).await;
                 }
             }
+            Event::QuotaRequest(from, request) => {
+                quota::answer(&shared, &peers, from, request).await;
+            }
+            Event::QuotaGrants(from, grants) => {
+                shared.gateway.admission().apply(from, &grants);
+            }
             Event::Watermark(from, watermark) => {
                 if watermark.store_age_ms < u32::MAX {
                     let store_age = Duration::from_millis(watermark.store_age_ms.into());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod follower;
 mod logging;
 mod node;
+mod quota;
 mod reader;
 mod replica;
 mod settings;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,6 +20,7 @@
 use crate::directory::{self, Candidate};
 use crate::exporter::Exporter;
 use crate::follower;
+use crate::quota::{self, Quota};
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::start::Start;
@@ -71,6 +72,7 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) start: Start,
+    pub(crate) quota: Quota,
     replica: Mutex<Replica>,
     /// Status of the store for the desired state and the targets.
     store_status: Mutex<StoreStatus>,
@@ -157,6 +159,7 @@
         let start = Start::new(settings.first_start, Instant::now());
         let shared = Arc::new(Shared {
             start,
+            quota: Quota::open(settings.peer.ip()),
             gateway: Arc::clone(&gateway),
             store,
             replica: Mutex::default(),
@@ -171,6 +174,7 @@
         });
         let (peers, events) = bind_peers(&shared).await?;
         follower::spawn(&shared, &peers, events);
+        quota::spawn(&shared, &peers);
         let (for_maintenance, peers_for_maintenance) = (Arc::clone(&shared), peers.clone());
         task::spawn("maintenance", move || {
             run_maintenance(Arc::clone(&for_maintenance), peers_for_maintenance.clone())
@@ -341,7 +345,7 @@
         applied
     }
 
-    fn phase(&self) -> Phase {
+    pub(crate) fn phase(&self) -> Phase {
         if self.leaving.load(Ordering::Acquire) {
             Phase::Leaving
         } else if self.has_data(Subject::State) && self.has_data(Subject::Targets) {
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -3,6 +3,7 @@
 use std::net::IpAddr;
 
 use carobdrift_placement::Endpoint;
+use carobdrift_quota::{Grants, Request};
 use carobdrift_units::{Target, Version, Zone};
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +21,10 @@
     Delta(Delta),
     /// Asks a hub to list all entries of its zone individually.
     MembersRequest,
+    /// Requests tokens of limits from their grantor.
+    QuotaRequest(Request),
+    /// Response to a request for tokens.
+    QuotaGrants(Grants),
 }
 
 /// Lifecycle phase of an entry.
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -16,11 +16,12 @@
 mod fetch;
 mod membership;
 mod peers;
+mod quota;
 mod server;
 mod transfer;
 
 pub use answer::{Answer, Targets, Update};
 pub use datagram::{Delta, Heartbeat, Phase, Row, StoreHealth, Watermark};
 pub use fetch::{FetchError, fetch_state, fetch_targets};
-pub use membership::{Candidate, Identity, Membership, Peer};
+pub use membership::{Candidate, Contact, Identity, Membership, Peer};
 pub use peers::{Data, Event, Peers, Settings};
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -96,6 +96,17 @@
     }
 }
 
+/// With which other entries this one is in contact.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Contact {
+    /// Hubs of all zones in ascending order: the entries that may grant tokens.
+    pub hubs: Vec<IpAddr>,
+    /// Whether more than half of the known entries are alive, this one included.
+    pub is_majority: bool,
+    /// Entries that do not count as running and did not leave.
+    pub lost: Vec<IpAddr>,
+}
+
 /// Other entries as this one knows them.
 #[derive(Debug, Default)]
 pub struct Membership {
@@ -360,6 +371,33 @@
         hubs.collect()
     }
 
+    /// Returns with which other entries this one is in contact. Entries that may exist
+    /// but never answered count as known, and those that left do not. `is_leaving`
+    /// states that this entry does.
+    #[must_use]
+    pub fn contact(&self, own: &Identity, is_leaving: bool, now: Instant) -> Contact {
+        let zones = self.ranked(own, now).into_values();
+        let zones = zones.map(|candidates| {
+            let addresses = candidates.into_iter().map(|candidate| candidate.address);
+            let present = addresses.filter(|address| !is_leaving || *address != own.address);
+            present.take(HUBS_PER_ZONE).collect::<Vec<_>>()
+        });
+        let mut hubs: Vec<IpAddr> = zones.flatten().collect();
+        hubs.sort_unstable();
+        let silent = self.peers.iter().filter(|(_, peer)| !peer.is_alive(now));
+        let lost: Vec<IpAddr> = silent
+            .filter(|(_, peer)| peer.phase != Phase::Leaving)
+            .map(|(address, _)| *address)
+            .collect();
+        let alive = self.alive(now).count() + 1;
+        let known = alive + lost.len() + self.candidates.len();
+        Contact {
+            hubs,
+            is_majority: alive * 2 > known,
+            lost,
+        }
+    }
+
     /// Returns the availability zone of another entry, if it is known.
     pub(crate) fn zone_of(&self, address: IpAddr) -> Option<&Zone> {
         self.peers.get(&address).map(|peer| &peer.zone)
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use carobdrift_quota::{Grants, Request};
 use carobdrift_units::{BitRate, Version, Zone};
 use futures_util::FutureExt;
 use tokio::net::{TcpListener, UdpSocket};
@@ -22,7 +23,7 @@
     Datagram, Delta, Digest, Heartbeat, MAX_DATAGRAM_BYTES, Member, Row, Watermark,
 };
 use crate::digest::Tracker;
-use crate::membership::{Identity, Membership, Peer};
+use crate::membership::{Contact, Identity, Membership, Peer};
 use crate::server::{Server, Source, Subject};
 
 /// Interval of heartbeats and digests within a zone.
@@ -102,6 +103,10 @@
     Watermark(IpAddr, Watermark),
     /// Changes to the registered targets.
     Delta(Delta),
+    /// Request of the entry at this address for tokens of limits.
+    QuotaRequest(IpAddr, Request),
+    /// Tokens that the entry at this address granted.
+    QuotaGrants(IpAddr, Grants),
 }
 
 /// Handle of the running exchange with the other entries; cheap to clone.
@@ -192,6 +197,14 @@
         SocketAddr::new(entry, self.shared.settings.address.port())
     }
 
+    /// Returns with which other entries this one is in contact.
+    /// `is_leaving` states that this one is about to end.
+    #[must_use]
+    pub fn contact(&self, is_leaving: bool) -> Contact {
+        let now = Instant::now();
+        self.membership().contact(&self.shared.own, is_leaving, now)
+    }
+
     /// Returns whether this entry is a hub of its zone.
     #[must_use]
     pub fn is_hub(&self) -> bool {
@@ -437,7 +450,7 @@
         }
     }
 
-    async fn send(&self, datagram: &Datagram, addresses: &[IpAddr]) {
+    pub(crate) async fn send(&self, datagram: &Datagram, addresses: &[IpAddr]) {
         if addresses.is_empty() {
             return;
         }
@@ -540,6 +553,8 @@
                 None
             }
             Datagram::Delta(delta) => Some(Event::Delta(delta)),
+            Datagram::QuotaRequest(request) => Some(Event::QuotaRequest(from, request)),
+            Datagram::QuotaGrants(grants) => Some(Event::QuotaGrants(from, grants)),
         }
     }
 
