--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -108,14 +108,16 @@
         shared.gateway.admission().discard_tokens();
     }
     if !is_limited {
-        state.allocator.set_candidates(Vec::new(), now);
+        state.allocator.set_candidates(Vec::new(), &[], now);
         return;
     }
     let contact = peers.contact(shared.phase() == Phase::Leaving);
     state.candidates = contact.hubs.as_slice().into();
     let may_grant = contact.is_majority && contact.hubs.contains(&shared.quota.own);
     let candidates = if may_grant { contact.hubs } else { Vec::new() };
-    state.allocator.set_candidates(candidates, now);
+    state
+        .allocator
+        .set_candidates(candidates, &contact.silent, now);
     state.allocator.set_lost(contact.lost, now);
     state.allocator.remove_idle(now);
 }
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -22,6 +22,10 @@
 /// because a frozen entry delays the requests of its callers.
 const RESPONSIVE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time without a datagram of any entry after which this one is out of contact. A hub
+/// gets at least four a second.
+const ISOLATION_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Largest number of entries to which one requester of data is referred.
 const MAX_PROVIDERS: usize = 12;
 
@@ -97,14 +101,18 @@
 }
 
 /// With which other entries this one is in contact.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Contact {
     /// Hubs of all zones in ascending order: the entries that may grant tokens.
     pub hubs: Vec<IpAddr>,
-    /// Whether more than half of the known entries are alive, this one included.
+    /// Whether more than half of the known entries are alive, this one included, and
+    /// any of them was heard just now.
     pub is_majority: bool,
     /// Entries that do not count as running and did not leave.
     pub lost: Vec<IpAddr>,
+    /// Entries that are not responsive and did not leave, with the time of the last
+    /// contact.
+    pub silent: Vec<(IpAddr, Instant)>,
 }
 
 /// Other entries as this one knows them.
@@ -384,17 +392,24 @@
         });
         let mut hubs: Vec<IpAddr> = zones.flatten().collect();
         hubs.sort_unstable();
-        let silent = self.peers.iter().filter(|(_, peer)| !peer.is_alive(now));
-        let lost: Vec<IpAddr> = silent
-            .filter(|(_, peer)| peer.phase != Phase::Leaving)
-            .map(|(address, _)| *address)
+        let present = self.peers.iter();
+        let present = present.filter(|(_, peer)| peer.phase != Phase::Leaving);
+        let silent: Vec<_> = present
+            .filter(|(_, peer)| !peer.is_responsive(now))
+            .map(|(address, peer)| (*address, peer.last_heard))
+            .collect();
+        let lost = silent.iter().map(|(address, _)| *address);
+        let lost: Vec<_> = lost
+            .filter(|address| !self.peers[address].is_alive(now))
             .collect();
         let alive = self.alive(now).count() + 1;
         let known = alive + lost.len() + self.candidates.len();
+        let is_isolated = known > 1 && self.contact_age(now) > ISOLATION_TIMEOUT;
         Contact {
             hubs,
-            is_majority: alive * 2 > known,
+            is_majority: alive * 2 > known && !is_isolated,
             lost,
+            silent,
         }
     }
 
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -35,6 +35,22 @@
 /// Time without requests after which a full bucket is discarded.
 const IDLE_PERIOD: Duration = Duration::from_secs(10);
 
+/// Time from the last contact with a grantor after which another one grants. The former
+/// one stops after two seconds without contact at the latest.
+const TAKEOVER_TIME: Duration = Duration::from_millis(2200);
+
+/// Time from the start or the return of an entry after which it grants. Until the others
+/// know that it is back, they get tokens of another one.
+const RETURN_TIME: Duration = Duration::from_secs(1);
+
+/// Largest value of the shortest time between the announcements of tokens to two refused
+/// entries, which bounds the number of requests while demand exceeds the limit.
+const MAX_PROMISE_GAP: Duration = Duration::from_millis(20);
+
+/// Share of the time in which a bucket fills that is the shortest time between two such
+/// announcements. A bucket that fills before the next request loses tokens.
+const PROMISE_GAP_SHARE: f64 = 0.25;
+
 /// Latest time for which the next token is announced.
 const MAX_DUE: Duration = Duration::from_secs(1);
 
@@ -48,6 +64,8 @@
     /// Candidates with the time since when they were those, oldest first. Empty
     /// candidates stand for a time at which this entry may not grant.
     terms: VecDeque<(Instant, Vec<IpAddr>)>,
+    /// Candidates before the last change.
+    former: Vec<IpAddr>,
     accounts: HashMap<Key, Granting>,
     lost: HashSet<IpAddr>,
 }
@@ -73,14 +91,23 @@
         Self {
             own,
             terms: VecDeque::new(),
+            former: Vec::new(),
             accounts: HashMap::new(),
             lost: HashSet::new(),
         }
     }
 
     /// Sets the candidates, in ascending order; none if this entry may not grant,
-    /// because it is not in contact with more than half of the entries.
-    pub fn set_candidates(&mut self, candidates: Vec<IpAddr>, now: Instant) {
+    /// because it is not in contact with more than half of the entries. `silent` holds
+    /// the entries that are not heard, with the time at which they last were. A former
+    /// candidate among them may still grant until it notices that it is out of contact,
+    /// and is replaced only then.
+    pub fn set_candidates(
+        &mut self,
+        candidates: Vec<IpAddr>,
+        silent: &[(IpAddr, Instant)],
+        now: Instant,
+    ) {
         if self
             .terms
             .back()
@@ -88,7 +115,19 @@
         {
             return;
         }
-        self.terms.push_back((now, candidates));
+        let is_replaced = |entry: &IpAddr| {
+            self.former.contains(entry) && !candidates.contains(entry) && *entry != self.own
+        };
+        let ends = silent.iter().filter(|(entry, _)| is_replaced(entry));
+        let ends = ends.map(|(_, heard)| *heard + TAKEOVER_TIME);
+        let mut from = ends.max().unwrap_or(now).max(now);
+        if self.terms.back().is_none_or(|(_, last)| last.is_empty()) {
+            from = from.max(now + RETURN_TIME);
+        }
+        if !candidates.is_empty() {
+            self.former.clone_from(&candidates);
+        }
+        self.terms.push_back((from, candidates));
         if self.terms.len() > MAX_TERMS {
             self.terms.pop_front();
         }
@@ -111,7 +150,7 @@
         self.accounts.clear();
         if let Some((_, candidates)) = self.terms.pop_back() {
             self.terms.clear();
-            self.terms.push_back((now, candidates));
+            self.terms.push_back((now + RETURN_TIME, candidates));
         }
     }
 
@@ -125,7 +164,7 @@
         limit: Limit,
         now: Instant,
     ) -> Option<Grant> {
-        let since = self.since(key)?;
+        let since = self.since(key).filter(|since| *since <= now)?;
         let account = self
             .accounts
             .entry(key.clone())
@@ -193,7 +232,7 @@
             window.record(tokens, now);
         }
         let due = if tokens < demand.wanted {
-            self.promise(demand.wanted - tokens, now)
+            self.promise(now)
         } else {
             Duration::ZERO
         };
@@ -206,12 +245,13 @@
     /// Returns the time until a refused entry gets a token. Each refused entry is told
     /// a later time than the one before, so that they do not all return for the same
     /// token.
-    fn promise(&mut self, missing: u32, now: Instant) -> Duration {
+    fn promise(&mut self, now: Instant) -> Duration {
         let rate = self.limit.rate.per_second();
         let next = now + self.bucket.time_until(1.0, self.limit).min(MAX_DUE);
         let due = self.promised_until.max(next).min(now + MAX_DUE);
-        let taken = Duration::try_from_secs_f64(f64::from(missing) / rate).unwrap_or(MAX_DUE);
-        self.promised_until = due + taken.min(MAX_DUE);
+        let taken = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(MAX_DUE);
+        let gap = self.limit.fill_time().mul_f64(PROMISE_GAP_SHARE);
+        self.promised_until = due + taken.min(MAX_DUE).max(gap.min(MAX_PROMISE_GAP));
         due.saturating_duration_since(now).max(MIN_DUE)
     }
 
@@ -229,11 +269,7 @@
     }
 
     fn is_idle(&self, now: Instant) -> bool {
-        let rate = self.limit.rate.per_second();
-        let fill_time = Duration::try_from_secs_f64(self.limit.capacity() / rate);
-        let idle_time = fill_time
-            .unwrap_or(Duration::MAX)
-            .saturating_add(IDLE_PERIOD);
+        let idle_time = self.limit.fill_time().saturating_add(IDLE_PERIOD);
         now.saturating_duration_since(self.used_at) > idle_time
     }
 }
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -5,14 +5,17 @@
 use tokio::time::Instant;
 
 /// Shares of the former rate that are admitted, each until a time after the last
-/// contact. The grantor reserves half of the rate once it counts the entry as lost.
+/// contact. For the first two seconds, callers that moved may be admitted by the grantor
+/// at the full rate as well; with 0.75 of it, and 0.25 of it in the end, such a window
+/// held 659 requests of a quota that permits 625. Then the grantor reserves half.
 const PHASES: [(Duration, f64); 2] = [
-    (Duration::from_secs(2), 0.75),
+    (Duration::from_secs(2), 0.25),
     (Duration::from_secs(10), 0.5),
 ];
 
-/// Share of the former rate that is admitted after the last of the [`PHASES`].
-const FINAL_SHARE: f64 = 0.25;
+/// Share of the former rate that is admitted after the last of the [`PHASES`], for which
+/// nothing is reserved: the permitted overshoot.
+const FINAL_SHARE: f64 = 0.1;
 
 /// Time in which the allowance accumulates, so that requests need not arrive evenly.
 const ACCUMULATION_S: f64 = 0.25;
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -12,6 +12,9 @@
 /// at a rate within the limit are admitted although they do not arrive evenly.
 const MIN_FILL_TIME_S: f64 = 0.1;
 
+/// Longest time in which a bucket fills.
+const MAX_FILL_TIME: Duration = Duration::from_hours(24);
+
 /// Largest capacity beyond the burst of the limit: half of the usual `quotaSlack`.
 const MAX_EXTRA_CAPACITY: f64 = 10.0;
 
@@ -34,6 +37,12 @@
         let least = self.rate.per_second() * MIN_FILL_TIME_S;
         (self.burst as f64).max(least.clamp(MIN_CAPACITY, MAX_EXTRA_CAPACITY))
     }
+
+    /// Returns the time in which an empty bucket fills, at most one day.
+    pub(crate) fn fill_time(&self) -> Duration {
+        let time = Duration::try_from_secs_f64(self.capacity() / self.rate.per_second());
+        time.unwrap_or(MAX_FILL_TIME).min(MAX_FILL_TIME)
+    }
 }
 
 /// Token bucket of one key.
