--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -30,22 +30,25 @@
 /// Length of the slots in which requests of callers are counted.
 const DEMAND_SLOT: Duration = Duration::from_millis(50);
 
-/// Slots before the current one over which the expected use is measured. A caller that
+/// Slots over which the expected use is measured, the current one included. A caller that
 /// moves to another entry leaves unused tokens behind for this time.
-const DEMAND_SLOTS: u64 = 5;
+const DEMAND_SLOTS: u64 = 6;
 
-/// Time that [`DEMAND_SLOTS`] cover, in seconds.
+/// Time that the full [`DEMAND_SLOTS`] cover, in seconds.
 const DEMAND_TIME_S: f64 = 0.25;
 
-/// Length of the slots in which admitted requests are counted. All slots together
-/// cover the two seconds from which the allowance is derived.
-const USE_SLOT: Duration = Duration::from_millis(100);
+/// Length of the slots in which admitted requests are counted.
+const USE_SLOT: Duration = Duration::from_millis(150);
 
-/// Slots before the current one over which the former rate is measured.
-const USE_SLOTS: u64 = 19;
+/// Slots over which the former rate is measured, from which the allowance is derived.
+const USE_SLOTS: u64 = 13;
 
-/// Time that the use slots cover, in seconds.
-const USE_TIME_S: f64 = 2.0;
+/// Time that the [`USE_SLOTS`] cover, in seconds.
+const USE_TIME_S: f64 = 1.95;
+
+/// Newest slots that the former rate leaves out. A grantor that was cut off takes all
+/// tokens of its key itself until it notices.
+const USE_SLOTS_SKIPPED: u64 = 6;
 
 /// `Retry-After` time if the grantor does not respond and the allowance is used up.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -189,7 +192,7 @@
         }
         // One token shows when the grantor, or its successor, responds again.
         if in_advance && demand.wanted == 0 && self.is_unanswered(now) && available == 0 {
-            demand.wanted = u32::from(self.demand.sum(DEMAND_SLOTS, now) > 0);
+            demand.wanted = u32::from(self.demand.sum(0, DEMAND_SLOTS, now) > 0);
         }
         if in_advance && demand.wanted == 0 && self.waiting == 0 {
             demand.returned = self.give_up(held, expected);
@@ -246,7 +249,7 @@
         let since = self.unanswered_since.unwrap_or(now);
         let used = &mut self.used;
         let allowance = self.allowance.get_or_insert_with(|| {
-            let rate = f64::from(used.sum(USE_SLOTS, now)) / USE_TIME_S;
+            let rate = f64::from(used.sum(USE_SLOTS_SKIPPED, USE_SLOTS, now)) / USE_TIME_S;
             Allowance::open(rate, since)
         });
         allowance.take(now)
@@ -259,7 +262,7 @@
         reason = "a count of requests, which is not negative, and the cast saturates"
     )]
     fn expected(&mut self, now: Instant) -> u32 {
-        let rate = f64::from(self.demand.sum(DEMAND_SLOTS, now)) / DEMAND_TIME_S;
+        let rate = f64::from(self.demand.sum(0, DEMAND_SLOTS, now)) / DEMAND_TIME_S;
         let expected = (rate * ADVANCE_TIME_S) as u32;
         if expected >= MIN_ADVANCE { expected } else { 0 }
     }
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -9,7 +9,7 @@
 /// at the full rate as well; with 0.75 of it, and 0.25 of it in the end, such a window
 /// held 659 requests of a quota that permits 625. Then the grantor reserves half.
 const PHASES: [(Duration, f64); 2] = [
-    (Duration::from_secs(2), 0.25),
+    (Duration::from_secs(2), 0.2),
     (Duration::from_secs(10), 0.5),
 ];
 
--- a/crates/quota/src/window.rs
+++ b/crates/quota/src/window.rs
@@ -35,11 +35,12 @@
         self.counts[index] = self.counts[index].saturating_add(count);
     }
 
-    /// Returns the number of events in the current slot and the `slots` before it.
-    pub(crate) fn sum(&mut self, slots: u64, now: Instant) -> u32 {
+    /// Returns the number of events in `slots` slots, the last of which is `skipped`
+    /// slots before the current one.
+    pub(crate) fn sum(&mut self, skipped: u64, slots: u64, now: Instant) -> u32 {
         self.advance(now);
-        let first = self.newest.saturating_sub(slots);
-        (first..=self.newest)
+        let end = (self.newest + 1).saturating_sub(skipped);
+        (end.saturating_sub(slots)..end)
             .map(|slot| self.counts[index(slot)])
             .sum()
     }
