--- a/crates/quota/tests/all/simulation.rs
+++ b/crates/quota/tests/all/simulation.rs
@@ -1,15 +1,15 @@
 //! Event loop that plays entries, their grantors and the messages between them against
 //! the real accounts and allocators.
 
+mod faults;
+mod traffic;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashSet};
 use std::net::IpAddr;
 use std::time::Duration;
 
-use carobdrift_quota::{
-    Accounts, Allocator, Decision, Grants, Key, Limit, REPEAT_INTERVAL, RESPONSE_TIMEOUT, Request,
-    grantor,
-};
+use carobdrift_quota::{Accounts, Allocator, Key, Limit, grantor};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio::time::Instant;
@@ -27,7 +27,7 @@
 const ISOLATED: Duration = Duration::from_millis(600);
 /// Time in which news of an entry that returned reach the others.
 const JOIN: Duration = Duration::from_millis(300);
-/// Payload of headers of a datagram, in bytes.
+/// Headers of a datagram, in bytes.
 const HEADER_BYTES: usize = 28;
 
 /// Returns the number of the entry with an address.
@@ -195,52 +195,6 @@
         self.now = end;
     }
 
-    pub(crate) fn set_running(&mut self, numbers: &[usize], running: bool) {
-        for number in numbers {
-            let entry = &mut self.entries[*number];
-            entry.process = if running {
-                Process::Running
-            } else {
-                Process::Ended
-            };
-            entry.accounts = Accounts::open(self.order as u32);
-            entry.allocator = Allocator::open(entry.address);
-            entry.joined = self.now + JOIN;
-            entry.last_run = self.now;
-            entry.waiting.clear();
-            entry.inbox.clear();
-        }
-        self.update_reach();
-    }
-
-    pub(crate) fn set_frozen(&mut self, number: usize, frozen: bool) {
-        self.entries[number].process = if frozen {
-            Process::Frozen
-        } else {
-            Process::Running
-        };
-        self.update_reach();
-        if !frozen {
-            for (from, bytes, is_request) in std::mem::take(&mut self.entries[number].inbox) {
-                self.plan(self.now, Event::Deliver(from, number, bytes, is_request));
-            }
-        }
-    }
-
-    /// Disconnects entries from all others, or connects them again.
-    pub(crate) fn cut(&mut self, numbers: &[usize]) {
-        for number in numbers {
-            self.entries[*number].cut = true;
-        }
-        self.connected = false;
-        self.update_reach();
-    }
-
-    pub(crate) fn reconnect(&mut self) {
-        self.connected = true;
-        self.update_reach();
-    }
-
     /// Changes the limit at each entry within a time.
     pub(crate) fn set_limit(&mut self, limit: Limit, at: impl Fn(usize) -> bool) {
         let entries = self.entries.iter_mut().enumerate();
@@ -409,141 +363,6 @@
         self.request(number, true);
     }
 
-    fn arrive(&mut self, number: usize) {
-        let entry = &mut self.entries[number];
-        if entry.process != Process::Running {
-            return;
-        }
-        match entry.accounts.admit(&self.key, self.now) {
-            Decision::Admitted(_) => self.admitted.push(self.now),
-            Decision::Refused(_) => self.refused += 1,
-            Decision::Wait => {
-                entry.waiting.push(self.now);
-                self.plan(self.now + REPEAT_INTERVAL, Event::Repeat(number, self.now));
-                self.plan(self.now + RESPONSE_TIMEOUT, Event::Repeat(number, self.now));
-                self.plan_send(number);
-            }
-        }
-    }
-
-    fn plan_send(&mut self, number: usize) {
-        let entry = &mut self.entries[number];
-        if !std::mem::replace(&mut entry.send_planned, true) {
-            let at = entry.may_send_at.max(self.now);
-            self.plan(at, Event::Send(number));
-        }
-    }
-
-    fn repeat(&mut self, number: usize, since: Instant) {
-        let entry = &mut self.entries[number];
-        if entry.process != Process::Running || !entry.waiting.contains(&since) {
-            return;
-        }
-        let is_last = self.now >= since + RESPONSE_TIMEOUT;
-        let decision = entry.accounts.decide_waiting(&self.key, is_last, self.now);
-        if decision == Decision::Wait {
-            self.plan_send(number);
-        } else {
-            entry.waiting.retain(|other| *other != since);
-            self.end_wait(number, &decision);
-        }
-    }
-
-    fn end_wait(&mut self, number: usize, decision: &Decision) {
-        self.entries[number].accounts.end_wait(&self.key);
-        match decision {
-            Decision::Admitted(_) => self.admitted.push(self.now),
-            _ => self.refused += 1,
-        }
-    }
-
-    fn request(&mut self, number: usize, in_advance: bool) {
-        let entry = &self.entries[number];
-        if entry.process != Process::Running {
-            return;
-        }
-        let hubs = if self.now < entry.joined {
-            Vec::new()
-        } else {
-            self.views[self.view(number)].hubs.clone()
-        };
-        let entry = &mut self.entries[number];
-        if !in_advance {
-            entry.may_send_at = self.now + URGENT_INTERVAL;
-        }
-        let requests = entry
-            .accounts
-            .requests(in_advance, |key| grantor(key, &hubs), self.now);
-        for (to, request) in requests {
-            let bytes = postcard::to_allocvec(&request).unwrap();
-            self.transmit(number, index(to), bytes, true);
-        }
-    }
-
-    fn transmit(&mut self, from: usize, to: usize, bytes: Vec<u8>, is_request: bool) {
-        if from == to {
-            self.deliver(from, to, bytes, is_request);
-            return;
-        }
-        self.messages += 1;
-        self.bytes += bytes.len() + HEADER_BYTES;
-        self.largest = self.largest.max(bytes.len());
-        let parts = self.entries[from].cut == self.entries[to].cut;
-        let is_lost = self.random.random_bool(self.loss);
-        if (parts || self.connected) && !is_lost {
-            let jitter = self.random.random_range(0.0..1.0);
-            let delay = self.latency.mul_f64(0.5 + jitter);
-            self.plan(
-                self.now + delay,
-                Event::Deliver(from, to, bytes, is_request),
-            );
-        }
-    }
-
-    fn deliver(&mut self, from: usize, to: usize, bytes: Vec<u8>, is_request: bool) {
-        let entry = &mut self.entries[to];
-        if entry.process == Process::Ended {
-            return;
-        }
-        if entry.process == Process::Frozen {
-            entry.inbox.push((from, bytes, is_request));
-            return;
-        }
-        if is_request {
-            self.check_frozen(to);
-            let request: Request = postcard::from_bytes(&bytes).unwrap();
-            let source = self.entries[from].address;
-            let entry = &mut self.entries[to];
-            let (limit, now) = (entry.limit, self.now);
-            let grants = request
-                .demands
-                .iter()
-                .map(|(key, demand)| entry.allocator.grant(source, key, *demand, limit, now));
-            let grants = Grants {
-                sequence: request.sequence,
-                grants: grants.collect(),
-            };
-            let bytes = postcard::to_allocvec(&grants).unwrap();
-            self.transmit(to, from, bytes, false);
-            return;
-        }
-        let grants: Grants = postcard::from_bytes(&bytes).unwrap();
-        let source = self.entries[from].address;
-        let entry = &mut self.entries[to];
-        if entry.accounts.apply(source, &grants, self.now) {
-            for since in std::mem::take(&mut self.entries[to].waiting) {
-                let accounts = &mut self.entries[to].accounts;
-                let decision = accounts.decide_waiting(&self.key, false, self.now);
-                if decision == Decision::Wait {
-                    self.entries[to].waiting.push(since);
-                    self.plan_send(to);
-                } else {
-                    self.end_wait(to, &decision);
-                }
-            }
-        }
-    }
-
     /// Returns `count` different entries.
     pub(crate) fn some(&mut self, count: usize) -> Vec<usize> {
         let mut chosen = HashSet::new();
