Let a hub that is promoted know whom it replaces

An entry that was no hub kept no candidates, so that a hub promoted after a planned stop waited 1 s, and one promoted after a loss did not know the former grantor.

--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -113,8 +113,12 @@
     }
     let contact = peers.contact(shared.phase() == Phase::Leaving);
     state.candidates = contact.hubs.as_slice().into();
-    let may_grant = contact.is_majority && contact.hubs.contains(&shared.quota.own);
-    let candidates = if may_grant { contact.hubs } else { Vec::new() };
+    // An entry that is no hub notes the candidates too, to know whom it replaces later.
+    let candidates = if contact.is_majority {
+        contact.hubs
+    } else {
+        Vec::new()
+    };
     state
         .allocator
         .set_candidates(candidates, &contact.silent, now);
--- a/crates/quota/tests/all/main.rs
+++ b/crates/quota/tests/all/main.rs
@@ -7,5 +7,6 @@
     reason = "the numbers of a simulation are small"
 )]
 
+mod account;
 mod bounds;
 mod simulation;
--- a/crates/quota/tests/all/simulation.rs
+++ b/crates/quota/tests/all/simulation.rs
@@ -342,8 +342,7 @@
         let view = &self.views[self.view(number)];
         let entry = &mut self.entries[number];
         let is_hub = view.hubs.contains(&entry.address);
-        let may_grant = view.is_majority && is_hub;
-        let candidates = if may_grant {
+        let candidates = if view.is_majority {
             view.hubs.clone()
         } else {
             Vec::new()
