--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -285,7 +285,12 @@
             });
             return match preferred {
                 Some((cost, best)) if *cost <= criteria.max_cost => {
-                    Choice::Send(best.endpoint.clone())
+                    let is_probed = criteria.probed.contains(&best.endpoint.id);
+                    if is_probed || self.is_health_known(best, now) {
+                        Choice::Send(best.endpoint.clone())
+                    } else {
+                        Choice::Probe(vec![best.endpoint.clone()])
+                    }
                 }
                 _ => Choice::Saturated,
             };
--- a/crates/placement/tests/all/cold.rs
+++ b/crates/placement/tests/all/cold.rs
@@ -63,6 +63,30 @@
     assert_eq!(pool.choose(known, later), Choice::Send(endpoint("a")));
 }
 
+/// Guards against a target that is cold again and gets a request unasked, because the
+/// machine of the entry is overloaded or the request can't wait.
+#[test]
+fn an_immediate_request_asks_for_the_health_of_its_target_first() {
+    let now = Instant::now();
+    let mut pool = pool(&["a"], now);
+    pool.limit_cold_targets(true);
+    let immediate = Criteria {
+        immediate: true,
+        ..criteria()
+    };
+    let probed = [target("a")];
+    let after_probe = Criteria {
+        probed: &probed,
+        ..immediate
+    };
+
+    let first = pool.choose(immediate, now);
+    let unanswered = pool.choose(after_probe, now);
+
+    assert_eq!(first, Choice::Probe(vec![endpoint("a")]));
+    assert_eq!(unanswered, Choice::Send(endpoint("a")));
+}
+
 /// Guards against an old registration that makes a target warm again, and against
 /// a target that stays cold although it states that it is not.
 #[test]
