--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::call::Call;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
+use crate::quota::Quotas;
 use crate::services::{Retries, Services};
 use crate::upstream::Upstreams;
 
@@ -48,6 +49,7 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) metrics: Metrics,
     budget: Budget,
+    pub(crate) quotas: Arc<Quotas>,
     table: ArcSwapOption<Table>,
     draining: AtomicBool,
     /// Cancelled when requests that are read from then on are refused.
@@ -76,6 +78,7 @@
                 Admission::new(metrics.clone()),
             ),
             upstreams: Upstreams::new(metrics.connections.clone()),
+            quotas: Arc::new(Quotas::open(metrics.quota.clone())),
             metrics,
             budget: Budget::new(settings.capacity),
             table: ArcSwapOption::empty(),
@@ -160,6 +163,12 @@
         &self.budget
     }
 
+    /// Returns the admission of requests by the quotas of workspaces.
+    #[must_use]
+    pub fn quotas(&self) -> &Arc<Quotas> {
+        &self.quotas
+    }
+
     /// Returns the number of requests since the start.
     #[must_use]
     pub fn request_count(&self) -> u64 {
@@ -224,6 +233,11 @@
         if let Some(load) = self.dialect.load(headers) {
             self.services.record_load(endpoint, load);
         }
+        if let Some(warmup) = self.dialect.warmup(headers) {
+            self.services.with_pool(&endpoint.service, |pool, now| {
+                pool.record_warmup(endpoint, warmup, now);
+            });
+        }
         if self.dialect.is_leaving(headers) && self.services.mark_leaving(endpoint) {
             log::info!(target: "target", "event=leaving target={} source=answer", endpoint.id);
             self.upstreams.remove(&endpoint.id);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) connections: IntCounter,
     pub(crate) admissions: IntCounterVec,
     pub(crate) expected_capacity: GaugeVec,
+    pub(crate) quota: IntCounterVec,
 }
 
 impl Metrics {
@@ -69,6 +70,13 @@
                 ),
                 &["service"],
             )?,
+            quota: IntCounterVec::new(
+                Opts::new(
+                    "carobdrift_quota_requests_total",
+                    "Requests of workspaces with a quota, by outcome",
+                ),
+                &["workspace", "outcome"],
+            )?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.latency.clone()))?;
@@ -77,6 +85,7 @@
         registry.register(Box::new(metrics.connections.clone()))?;
         registry.register(Box::new(metrics.admissions.clone()))?;
         registry.register(Box::new(metrics.expected_capacity.clone()))?;
+        registry.register(Box::new(metrics.quota.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -25,6 +25,9 @@
     NoRoute,
     /// The request has no API key that a workspace holds. Not executed.
     Unauthorized,
+    /// The quota of the workspace is used up; it admits a further request after this
+    /// time. Not executed.
+    OverQuota(Duration),
     /// No target accepts requests. Not executed.
     NoTarget,
     /// No target had a free slot in time. Capacity for the request is expected after
@@ -49,6 +52,7 @@
             Self::Leaving => "leaving",
             Self::NoRoute => "no-route",
             Self::Unauthorized => "unauthorized",
+            Self::OverQuota(_) => "over-quota",
             Self::NoTarget => "no-target",
             Self::Busy(_) => "busy",
             Self::Paused(_) => "paused",
@@ -65,6 +69,7 @@
             Self::Leaving => (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::ZERO)),
             Self::NoRoute => (StatusCode::NOT_FOUND, None),
             Self::Unauthorized => (StatusCode::UNAUTHORIZED, None),
+            Self::OverQuota(due) => (StatusCode::TOO_MANY_REQUESTS, Some(due)),
             Self::NoTarget | Self::NotExecuted => (
                 StatusCode::SERVICE_UNAVAILABLE,
                 Some(UNAVAILABLE_RETRY_AFTER),
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::node::Shared;
+use crate::quota;
 use crate::reader::Position;
 use crate::sources::Sources;
 use crate::start::{Data, Knowledge};
@@ -368,6 +369,12 @@
                     peers.relay(&delta).await;
                 }
             }
+            Event::QuotaRequest(from, request) => {
+                quota::answer(&shared, &peers, from, request).await;
+            }
+            Event::QuotaGrants(from, grants) => {
+                shared.gateway.quotas().apply(from, &grants);
+            }
             Event::Watermark(from, watermark, evacuations) => {
                 if apply_evacuations(&shared, evacuations, None, "peer") {
                     peers.announce().await;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,4 +1,7 @@
 //! Pool of the targets of one service.
+
+mod cold;
+
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -121,6 +124,8 @@
     first_added: Option<Instant>,
     /// Zones whose targets get no requests.
     evacuated: Arc<HashSet<Zone>>,
+    /// Whether a cold target gets requests only with tokens.
+    limits_cold: bool,
 }
 
 impl Pool {
@@ -139,6 +144,7 @@
             attempts: 0,
             first_added: None,
             evacuated: Arc::default(),
+            limits_cold: false,
         }
     }
 
@@ -160,7 +166,7 @@
                 if candidate.endpoint.started_ms == endpoint.started_ms
                     && candidate.endpoint.address == endpoint.address =>
             {
-                candidate.update(endpoint, now);
+                candidate.update(endpoint, !self.limits_cold, now);
             }
             _ => {
                 let first_added = *self.first_added.get_or_insert(now);
@@ -255,6 +261,7 @@
         let Some(&(_, best)) = ranked.first() else {
             return match self.first_pause_end(criteria, now) {
                 Some(until) => Choice::Paused(until),
+                None if self.has_withheld(criteria, now) => Choice::Saturated,
                 None => Choice::NoTarget,
             };
         };
@@ -287,7 +294,12 @@
             });
             return match preferred {
                 Some((cost, best)) if *cost <= criteria.max_cost => {
-                    Choice::Send(best.endpoint.clone())
+                    let is_probed = criteria.probed.contains(&best.endpoint.id);
+                    if is_probed || self.is_health_known(best, now) {
+                        Choice::Send(best.endpoint.clone())
+                    } else {
+                        Choice::Probe(vec![best.endpoint.clone()])
+                    }
                 }
                 _ => Choice::Saturated,
             };
@@ -295,7 +307,8 @@
         ranked.retain(|(_, candidate)| {
             let stale = candidate
                 .report_age(now)
-                .is_none_or(|age| age > MAX_FRESH_AGE);
+                .is_none_or(|age| age > MAX_FRESH_AGE)
+                || !self.is_health_known(candidate, now);
             stale
                 && !criteria.probed.contains(&candidate.endpoint.id)
                 && !candidate.is_probe_pending(now)
@@ -400,6 +413,7 @@
             self.is_open(candidate)
                 && candidate.is_usable(now)
                 && !self.is_paused(candidate, now)
+                && !self.is_withheld(candidate, now)
                 && self.is_suitable(candidate, now)
         })
     }
@@ -446,6 +460,7 @@
             .report_age(now)
             .is_some_and(|age| age <= MAX_FRESH_AGE);
         fresh
+            && self.is_health_known(candidate, now)
             && self.has_slot(candidate, SlotUse::Usable, now)
             && candidate.slowdown(self.baseline, now) <= MAX_FAST_SLOWDOWN
     }
@@ -476,6 +491,7 @@
             if !self.is_open(candidate)
                 || criteria.tried.contains(&candidate.endpoint.id)
                 || self.is_paused(candidate, now)
+                || self.is_withheld(candidate, now)
             {
                 continue;
             }
