http1: notice that a caller left while 16 of its requests are in progress

Cause: a connection with 16 requests in progress is not read, so its end was noticed only with the first response, and requests that waited in the service went on.

Change: while no request may be read, the connection is asked every 20 ms whether the caller closed or reset it.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -26,6 +26,9 @@
 /// Largest number of requests that one connection serves concurrently.
 const MAX_PIPELINED_REQUESTS: usize = 16;
 
+/// Interval of the checks whether a caller left while no request may be read.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time for which the server keeps reading after it shut a connection down.
 /// Closing with unread bytes would reset the connection and could discard the
 /// last response.
@@ -187,7 +190,7 @@
             biased;
             // First, so that the requests of a caller that left are cancelled before they
             // continue, also after a pause of the process.
-            read = read_request(reader, last), if reading || last => match read {
+            read = read_request(reader, last, reading) => match read {
                 // The caller has disconnected while the request waited to be read.
                 Ok(Some(_)) if reader.is_closed_by_peer() => return false,
                 Ok(Some(request)) => {
@@ -297,13 +300,23 @@
 }
 
 /// Reads the next request. After the last request, discards input until the
-/// caller disconnects.
-async fn read_request(reader: &mut Reader, last: bool) -> Result<Option<Request>, ReadError> {
+/// caller disconnects; while no request may be read, waits until it does.
+async fn read_request(
+    reader: &mut Reader,
+    last: bool,
+    reading: bool,
+) -> Result<Option<Request>, ReadError> {
     if last {
         reader.discard().await;
         return Ok(None);
     }
-    reader.request().await
+    if reading {
+        return reader.request().await;
+    }
+    while !reader.is_closed_by_peer() {
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+    }
+    Ok(None)
 }
 
 /// Returns the time by which the current read must be complete.
--- a/crates/http1/tests/all/callers.rs
+++ b/crates/http1/tests/all/callers.rs
@@ -100,6 +100,27 @@
     }
 }
 
+/// Guards against requests that continue after their caller closed the connection,
+/// because a connection with so many of them is not read.
+#[tokio::test]
+async fn as_many_requests_as_are_served_at_a_time_are_cancelled_when_their_caller_left() {
+    for behind in [0, 2] {
+        let record = Arc::new(Record::default());
+        let (server, mut caller) = connection().await;
+        let task = tokio::spawn(serve(server, Arc::clone(&record), CancellationToken::new()));
+        let bytes = "GET /900 HTTP/1.1\r\n\r\n".repeat(CONCURRENT + behind);
+        caller.write_all(bytes.as_bytes()).await.unwrap();
+        while record.started.load(Ordering::SeqCst) < CONCURRENT {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+
+        drop(caller);
+        task.await.unwrap();
+
+        assert_eq!(record.ended.load(Ordering::SeqCst), 0, "{behind} behind");
+    }
+}
+
 /// Guards against a request that waits in the service and is passed on after its caller
 /// closed the connection, because the process did not run in between.
 #[tokio::test]
