--- a/crates/peers/tests/all/fetch.rs
+++ b/crates/peers/tests/all/fetch.rs
@@ -9,7 +9,7 @@
 use carobdrift_peers::{Answer, FetchError, Targets, fetch_state, fetch_targets};
 use carobdrift_test_support::link::{self, Link};
 use carobdrift_units::Version;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -171,3 +171,31 @@
         .unwrap();
     stream
 }
+
+/// Guards against an invalid response of another entry that is taken for the statement
+/// that nothing is newer. The cases are those of `docs/design/responses.md`.
+#[tokio::test]
+async fn an_invalid_response_is_no_answer() {
+    const RESPONSES: [&str; 3] = [
+        "HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\nx: y\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\ncontent-length: 0\r\ncontent-length: 2\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+    ];
+    let mut accepted = Vec::new();
+    for response in RESPONSES {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read(&mut [0; 1024]).await.unwrap();
+            stream.write_all(response.as_bytes()).await.unwrap();
+        });
+
+        let answer = fetch_state(address, Version(2)).await;
+
+        if !matches!(answer, Err(FetchError::Exchange(_))) {
+            accepted.push(format!("{response:?} as {answer:?}"));
+        }
+    }
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
