--- a/crates/peers/tests/all/fetch.rs
+++ b/crates/peers/tests/all/fetch.rs
@@ -187,7 +187,7 @@
         let address = listener.local_addr().unwrap();
         tokio::spawn(async move {
             let (mut stream, _) = listener.accept().await.unwrap();
-            stream.read(&mut [0; 1024]).await.unwrap();
+            let _ = stream.read(&mut [0; 1024]).await;
             stream.write_all(response.as_bytes()).await.unwrap();
         });
 
