Let other connections run while a fast caller is read

Reading without waiting does not yield by itself, so a fast caller could keep the only thread until its request was complete. A connection now yields each 256 KiB.

--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -76,6 +76,8 @@
     informational: usize,
     /// Share in the budget of the server, by which requests are read.
     share: Option<Arc<Share>>,
+    /// Bytes of requests that were read since other tasks got their turn.
+    unyielded: usize,
 }
 
 /// Response that is being read.
@@ -99,6 +101,7 @@
             response: None,
             informational: 0,
             share: None,
+            unyielded: 0,
         }
     }
 
--- a/crates/http1/src/reader/budgeted.rs
+++ b/crates/http1/src/reader/budgeted.rs
@@ -12,6 +12,9 @@
 /// while it is read.
 const FIELD_BYTES: usize = 256;
 
+/// Bytes that a connection reads before other connections get their turn.
+const YIELD_BYTES: usize = 256 * 1024;
+
 impl Reader {
     /// Reads bytes of a request within the budget. An idle connection holds no
     /// buffer.
@@ -20,6 +23,12 @@
             self.buffer = BytesMut::new();
         }
         loop {
+            // Reading without waiting does not yield by itself.
+            if self.unyielded >= YIELD_BYTES {
+                self.unyielded = 0;
+                tokio::task::yield_now().await;
+            }
+            tokio::task::coop::consume_budget().await;
             self.stream.readable().await?;
             if let Some(share) = &self.share {
                 share.reserve(self.held() + self.growth()).await?;
@@ -39,6 +48,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.settle(0),
                 Err(error) => return Err(error.into()),
                 Ok(count) => {
+                    self.unyielded += count;
                     self.settle(count);
                     return Ok(count);
                 }
