--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -79,6 +79,8 @@
     failure: Option<io::ErrorKind>,
     /// Share in the budget of the server, by which requests are read.
     share: Option<Arc<Share>>,
+    /// Bytes of requests that were read since other tasks got their turn.
+    unyielded: usize,
 }
 
 impl Reader {
@@ -96,6 +98,7 @@
             responses: ResponseDecoder::new(limits),
             failure: None,
             share: None,
+            unyielded: 0,
         }
     }
 
