--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Takes a token for a request to a cold target.
+    /// Takes a token without waiting, or requests one.
     ///
     /// # Errors
     ///
@@ -227,6 +227,13 @@
         self.unspent.is_some()
     }
 
+    /// Requests a token for the next send, unless one is at hand.
+    pub(crate) fn request(&mut self) {
+        if !self.prepare() {
+            self.unspent = self.admission.take_or_request(&self.key).ok();
+        }
+    }
+
     /// Spends the token for a send.
     pub(crate) fn spend(&mut self, call: &Arc<Call>) -> Spending {
         Spending {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -174,11 +174,14 @@
                 match self.place(call, &attempts.tried).await {
                     Ok(placement) => {
                         if !attempts.may_spend() {
-                            // The token expired while the request waited for a target.
-                            if attempts.sends > 0 {
-                                return attempts.finish(call, Refusal::NotExecuted);
-                            }
-                            match self.admit(call, "renewed").await {
+                            // The token expired while the request waited for a target,
+                            // or a repeat needs another one.
+                            let admitted = if attempts.sends > 0 {
+                                "repeated"
+                            } else {
+                                "renewed"
+                            };
+                            match self.admit(call, admitted).await {
                                 Ok(permit) => attempts.permit = permit,
                                 Err(refusal) => return attempts.finish(call, refusal),
                             }
@@ -212,13 +215,10 @@
     async fn hedge(self: &Arc<Self>, call: &Arc<Call>, attempts: &mut Attempts) {
         let service_time = self.services.estimate(&call.route).mean();
         let on_time = Instant::now() + service_time <= call.soft_deadline();
-        if !on_time
-            || !attempts.may_send(call)
-            || !attempts.may_spend()
-            || !self.services.try_spend_retry(&call.service)
-        {
+        if !on_time || !attempts.may_send(call) || !self.services.try_spend_retry(&call.service) {
             return;
         }
+        attempts.request_token();
         if let Ok(placement) = self.place(call, &attempts.tried).await
             && attempts.may_spend()
         {
@@ -294,6 +294,13 @@
         }));
     }
 
+    /// Requests a token for another send, which arrives while a target is selected.
+    fn request_token(&mut self) {
+        if let Some(permit) = &mut self.permit {
+            permit.request();
+        }
+    }
+
     /// Whether the quota of the workspace permits another send without waiting.
     fn may_spend(&mut self) -> bool {
         self.permit.as_mut().is_none_or(Permit::prepare)
@@ -346,11 +353,8 @@
             return Ok(None);
         }
         let retryable = call.is_idempotent() || refusal == Refusal::NotExecuted;
-        if retryable
-            && self.may_send(call)
-            && self.may_spend()
-            && gateway.services.try_spend_retry(&call.service)
-        {
+        if retryable && self.may_send(call) && gateway.services.try_spend_retry(&call.service) {
+            self.request_token();
             return Ok(None);
         }
         self.finish(call, refusal).map(Some)
