--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -37,6 +37,8 @@
     candidates: Arc<[IpAddr]>,
     suspension: Suspension,
     checked_at: Instant,
+    /// Whether this entry is in contact with enough others to grant.
+    is_majority: bool,
 }
 
 impl Quota {
@@ -48,6 +50,7 @@
                 candidates: Arc::default(),
                 suspension: Suspension::default(),
                 checked_at: Instant::now(),
+                is_majority: false,
             }),
         }
     }
@@ -65,6 +68,7 @@
         let was_suspended = self.suspension.take().is_some() || is_frozen;
         self.checked_at = now;
         if was_suspended {
+            log::warn!(target: "quota", "event=buckets-emptied reason=suspended");
             self.allocator.restart(now);
         }
         was_suspended
@@ -113,6 +117,14 @@
         return;
     }
     let contact = peers.contact(shared.phase() == Phase::Leaving);
+    if state.is_majority != contact.is_majority {
+        state.is_majority = contact.is_majority;
+        log::info!(
+            target: "quota",
+            "event=contact majority={} lost={}",
+            contact.is_majority, contact.lost.len()
+        );
+    }
     state.candidates = contact.hubs.as_slice().into();
     // An entry that is no hub notes the candidates too, to know whom it replaces later.
     let candidates = if contact.is_majority {
--- a/crates/peers/tests/all/main.rs
+++ b/crates/peers/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the exchange between entries over loopback.
 
+mod contact;
 mod fetch;
 mod fixture;
 mod fuzz;
--- a/crates/quota/src/accounts.rs
+++ b/crates/quota/src/accounts.rs
@@ -192,19 +192,6 @@
         }
     }
 
-    /// Whether a key's grantor has not responded for some time.
-    #[must_use]
-    pub fn is_unanswered(&self, key: &Key, now: Instant) -> bool {
-        let account = self.keys.get(key);
-        account.is_some_and(|account| account.is_unanswered(now))
-    }
-
-    /// Returns the number of keys in use.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.keys.len()
-    }
-
     /// Whether no key is in use.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -186,18 +186,6 @@
         }
     }
 
-    /// Returns the number of keys with a bucket.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.accounts.len()
-    }
-
-    /// Whether no key has a bucket.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
-    }
-
     /// Returns the time since when this entry is the grantor of a key.
     fn since(&self, key: &Key) -> Option<Instant> {
         let terms = self.terms.iter().rev();
