--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -40,8 +40,8 @@
 const TAKEOVER_TIME: Duration = Duration::from_millis(2200);
 
 /// Time from the start or the return of an entry after which it grants. Until the others
-/// know that it is back, they get tokens of another one.
-const RETURN_TIME: Duration = Duration::from_secs(1);
+/// know that it is back, they get tokens of another one. Hubs pass on the news at once.
+const RETURN_TIME: Duration = Duration::from_millis(500);
 
 /// Largest value of the shortest time between the announcements of tokens to two refused
 /// entries, which bounds the number of requests while demand exceeds the limit.
