--- a/crates/http1/src/reader/budgeted.rs
+++ b/crates/http1/src/reader/budgeted.rs
@@ -33,7 +33,7 @@
             self.stream.readable().await?;
             if let Some(share) = &self.share {
                 let request = self.request.as_ref();
-                let missing = request.and_then(|(_, decoder, _)| decoder.remaining());
+                let missing = request.and_then(|(_, decoder)| decoder.remaining());
                 share.reserve(self.held() + self.growth(), missing).await?;
             }
             let read = match &mut self.request {
