--- a/crates/peers/tests/all/fetch.rs
+++ b/crates/peers/tests/all/fetch.rs
@@ -79,6 +79,26 @@
     assert_eq!(same_state, Answer::Current);
 }
 
+/// Guards against an entry that gets no targets because it knows a higher version of an
+/// older era, and against one that gets those of an older era.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_of_a_newer_era_are_sent_whatever_their_version() {
+    let entry = entry_with(4);
+    entry.state.era.store(2, Ordering::SeqCst);
+    let known = |era| StoreRevision {
+        era: Era(era),
+        version: 90,
+    };
+
+    let sent = newer(fetch_targets(entry.address(), Some(known(1))).await);
+    let kept = fetch_targets(entry.address(), Some(known(3)))
+        .await
+        .unwrap();
+
+    assert_eq!((sent.revision.era, sent.revision.version), (Era(2), 7));
+    assert_eq!(kept, Answer::Current);
+}
+
 /// Guards against a time limit for a whole transfer, which data beyond a size never
 /// keeps on a slow link.
 #[tokio::test(flavor = "multi_thread")]
