--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -15,6 +15,10 @@
 
 use crate::call::Call;
 
+/// Shortest `Retry-After` time of a refusal. The next token is usually for one of many
+/// callers, and one that returns for it at once would be refused again.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Largest number of workspaces with a metric of their own.
 const MAX_NAMED_WORKSPACES: usize = 100;
 
@@ -131,7 +135,7 @@
             Err((key, _)) => key,
         };
         self.record(key, outcome);
-        result.map_err(|(_, due)| due)
+        result.map_err(|(_, due)| due.max(MIN_RETRY_AFTER))
     }
 
     async fn wait(&self, key: &Key) -> Decision {
