Divide contended capacity fairly between workspaces

Change: such starts no longer count, nor does a request that waits alone as a sign of contention unless the demand exceeds the capacity.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,4 +1,4 @@
-//! Target selection by fresh load reports, and retry budgets.
+//! Target selection by fresh load reports, admission, and retry budgets.
 //!
 //! Targets share their machines with other workloads and change their speed
 //! several times a second, so a load report is useful for some tens of
@@ -10,6 +10,7 @@
 mod candidate;
 mod capacity;
 mod contention;
+mod demand;
 mod estimate;
 mod health;
 mod plan;
@@ -21,8 +22,9 @@
 
 pub use budget::Budget;
 pub use candidate::{Endpoint, Lifecycle};
+pub use demand::{Demand, Reason, Refused, Ticket};
 pub use estimate::Estimate;
 pub use pool::{Choice, Criteria, Pool};
-pub use queue::{Demand, Queue, Reason, Refused, Ticket};
+pub use queue::Queue;
 pub use report::{Load, Outcome, Snapshot};
 pub use retry::retry_after;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -33,6 +33,8 @@
     pub(crate) spare_rate: f64,
     /// Whether requests were refused lately for lack of capacity.
     pub(crate) is_refusing: bool,
+    /// Whether requests wait for capacity.
+    pub(crate) is_contended: bool,
     /// Recent work of each workspace.
     pub(crate) usage_s: Vec<f64>,
 }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::capacity::{Arrivals, Capacity, DecayedSum, Flow, MIN_WORK_S};
+use crate::demand::{Demand, Floor, Reason, Refused, Ticket};
 use crate::plan::{Forecast, Job, Plan, expected_start};
 
 /// Fraction of the target latency within which a request must start. A refusal after a
@@ -14,9 +15,12 @@
 /// likely to be on time when its target becomes slow.
 const START_FRACTION: f64 = 0.1;
 
+/// Wait from which a request counts as one that waited for a slot.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
 /// Share of the capacity that counts as expected for requests that can no longer be on
 /// time. Their forecast reaches further, and a wrong one is a refusal after a long wait.
-const SPARE_SHARE: f64 = 0.5;
+const SPARE_SHARE: f64 = 0.7;
 
 /// Share of the capacity that is divided fairly. The rest absorbs the variation of the
 /// work that the other workspaces request.
@@ -26,61 +30,14 @@
 /// order of twice the time for which the speed of a target stays constant.
 const REFUSAL_MEMORY: Duration = Duration::from_millis(300);
 
-/// What a request needs, and until when its answer is of use.
-#[derive(Debug, Clone)]
-pub struct Demand {
-    /// Priority; 0 is the most urgent.
-    pub priority: u32,
-    /// Name of the workspace, if the request has one.
-    pub workspace: Option<Arc<str>>,
-    /// Expected service time at normal speed.
-    pub work: Duration,
-    /// Time at which the request began to wait.
-    pub received: Instant,
-    /// Target latency of the route.
-    pub target_latency: Duration,
-    /// Latest start at which the answer meets the target latency.
-    pub start_by: Instant,
-    /// Latest start at which the answer meets the deadline.
-    pub last_start: Instant,
-}
-
-/// Identifies a request in a [`Queue`]; later requests have larger ones.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(u64);
-
-/// Request that was refused.
-#[derive(Debug)]
-pub struct Refused<T> {
-    /// Ticket of the request.
-    pub ticket: Ticket,
-    /// The refused request, as it was added.
-    pub waiter: T,
-    /// What the request needed.
-    pub demand: Demand,
-    /// Why the request was refused.
-    pub reason: Reason,
-    /// The request that gets the next slot, if another one waits.
-    pub instead: Option<Demand>,
-    /// Time until capacity is expected.
-    pub capacity_in: Duration,
-}
-
-/// Why a waiting request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reason {
-    /// Its deadline can no longer be met.
-    Expired,
-    /// The capacity expected in its time is used by requests that are preferred to
-    /// it.
-    Displaced,
-}
-
 #[derive(Debug)]
 struct Waiting<T> {
     ticket: Ticket,
     demand: Demand,
     waiter: T,
+    added: Instant,
+    /// Whether others waited when the request was added.
+    found_others: bool,
     /// Whether it was decided that the request waits for unused capacity.
     is_held: bool,
 }
@@ -102,26 +59,6 @@
     last_refusal: Option<Instant>,
 }
 
-/// Request that was refused for lack of capacity. Until its answer would miss the target
-/// latency, less urgent requests that need as much work are refused too.
-#[derive(Debug)]
-struct Floor {
-    until: Instant,
-    priority: u32,
-    work: Duration,
-}
-
-impl Floor {
-    /// Whether this floor blocks all that `other` blocks, for as long.
-    fn covers(&self, other: &Self) -> bool {
-        self.until >= other.until && self.priority <= other.priority && self.work <= other.work
-    }
-
-    fn blocks(&self, demand: &Demand) -> bool {
-        self.priority < demand.priority && self.work <= demand.work
-    }
-}
-
 impl<T> Default for Queue<T> {
     fn default() -> Self {
         Self {
@@ -154,6 +91,8 @@
             ticket,
             demand,
             waiter,
+            added: now,
+            found_others: !self.waiting.is_empty(),
             is_held: false,
         });
         ticket
@@ -166,8 +105,17 @@
 
     /// Removes a request that a target accepts.
     pub fn start(&mut self, ticket: Ticket, now: Instant) -> Option<T> {
-        let Waiting { demand, waiter, .. } = self.take(ticket, now)?;
-        self.capacity.record_start(demand.work);
+        let Waiting {
+            demand,
+            waiter,
+            added,
+            found_others,
+            ..
+        } = self.take(ticket, now)?;
+        // A slot that was free shows nothing about how often slots become free.
+        if found_others || now.saturating_duration_since(added) >= MIN_WAIT {
+            self.capacity.record_start(demand.work);
+        }
         self.record_use(demand.workspace, demand.work, now);
         Some(waiter)
     }
@@ -250,7 +198,7 @@
             .first()
             .and_then(|first| self.demand(*first))
             .cloned();
-        let is_contended = self.waiting.len() > 1;
+        let is_contended = forecast.is_contended;
         let mut result = Vec::with_capacity(refused.len());
         for (ticket, reason) in refused {
             self.record_refusal(ticket, reason, is_contended, now);
@@ -306,18 +254,20 @@
             .last_refusal
             .is_some_and(|at| now.saturating_duration_since(at) < REFUSAL_MEMORY);
         // A request that waits alone may wait for a faster target, not for capacity.
-        let is_contended = self.waiting.len() > 1;
+        let demand_rate: f64 = flows.iter().map(|flow| flow.rate).sum();
+        let is_contended = self.waiting.len() > 1 || demand_rate > rate;
         let spare_rate = if is_refusing {
             0.0
         } else if !is_contended {
             f64::INFINITY
         } else {
-            rate * SPARE_SHARE - flows.iter().map(|flow| flow.rate).sum::<f64>()
+            rate * SPARE_SHARE - demand_rate
         };
         let forecast = Forecast {
             rate,
             spare_rate,
             is_refusing,
+            is_contended,
             usage_s: Vec::new(),
         };
         (forecast, flows)
--- a/crates/placement/tests/all/overload.rs
+++ b/crates/placement/tests/all/overload.rs
@@ -313,3 +313,48 @@
         );
     }
 }
+/// Guards against a workspace that takes the capacity of others by sending more.
+#[test]
+fn a_workspace_that_sends_more_leaves_the_others_their_share() {
+    const WORKSPACES: u32 = 20;
+    for seed in 1..=3 {
+        // The first workspace sends a tenth of the usual load, and then 7.5 times that.
+        let usual = draw(0.9, seed, |random, request| {
+            request.priority = 1;
+            let is_large = random.random_bool(0.1);
+            request.workspace = Some(if is_large {
+                0
+            } else {
+                random.random_range(1..WORKSPACES)
+            });
+        });
+        let extra = draw(0.9 * 0.1 * 6.5, seed + 10, |_, request| {
+            request.priority = 1;
+            request.workspace = Some(0);
+        });
+        let mut more = [usual.clone(), of_overload(&extra)].concat();
+        more.sort_by_key(|request| request.sent_ms);
+
+        let [_, before] = both(&usual, false);
+        let [old, after] = both(&more, false);
+
+        let others = |played: &[Request]| {
+            let others = || played.iter().filter(|r| r.workspace != Some(0));
+            let served = others().filter(|r| r.ended_ms.is_some()).count();
+            let counts = [served, others().count()].map(|n| f64::from(u32::try_from(n).unwrap()));
+            counts[0] / counts[1]
+        };
+        let refused = before.iter().filter(|r| r.refused_ms.is_some()).count();
+        println!(
+            "seed {seed}: refused alone {refused} others on time {:.3} was {:.3}",
+            share(&after, |r| r.workspace != Some(0)),
+            share(&before, |r| r.workspace != Some(0))
+        );
+        let [before, old, after] = [before, old, after].map(|played| others(&played));
+        println!("seed {seed}: others served {before:.3} alone, {old:.3} old, {after:.3} new");
+        assert!(
+            after >= 0.97 * before,
+            "seed {seed}: {after} after {before}"
+        );
+    }
+}
