Shorten waits only while callers request more than the capacity

Cause: an entry with few targets saw requests that waited for a moment as a lack of capacity.

Change: the start within a tenth of the target latency, and the forecast for late requests, apply while arrivals request more than the observed capacity and for 0.3 s after a refusal for lack of it. Otherwise requests have their whole slack and are held until their target latency has passed, as before.

Such an entry still refuses below its capacity what the old order answers.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -35,7 +35,7 @@
     pub(crate) unused_rate: f64,
     /// Whether requests were refused lately for lack of capacity.
     pub(crate) is_refusing: bool,
-    /// Whether requests wait for capacity.
+    /// Whether arrivals request more than the capacity.
     pub(crate) is_contended: bool,
     /// Recent work of each workspace.
     pub(crate) usage_s: Vec<f64>,
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -253,9 +253,10 @@
         let is_refusing = self
             .last_refusal
             .is_some_and(|at| now.saturating_duration_since(at) < REFUSAL_MEMORY);
-        // A request that waits alone may wait for a faster target, not for capacity.
+        // Without more demand than capacity, requests wait for a moment in which more
+        // targets are fast.
         let demand_rate: f64 = flows.iter().map(|flow| flow.rate).sum();
-        let is_contended = self.waiting.len() > 1 || demand_rate > rate;
+        let is_contended = demand_rate > rate;
         let spare_rate = if is_refusing {
             0.0
         } else if !is_contended {
@@ -293,7 +294,11 @@
                     .push(usage.map_or(0.0, |sum| sum.value(now)));
                 forecast.usage_s.len() - 1
             });
-            let start_by = demand.start_by.min(Self::window_end(demand));
+            let start_by = if forecast.spare_rate.is_finite() {
+                demand.start_by.min(Self::window_end(demand))
+            } else {
+                demand.start_by
+            };
             let usage_s = forecast.usage_s[workspace];
             let preferred: f64 = flows
                 .iter()
