--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -29,10 +29,14 @@
 pub(crate) struct Forecast {
     /// Work per second that the targets accept from this entry.
     pub(crate) rate: f64,
-    /// Work per second that is left by all arrivals.
+    /// Work per second that counts as left for late requests.
     pub(crate) spare_rate: f64,
+    /// Work per second that all arrivals leave; negative if they request more.
+    pub(crate) unused_rate: f64,
     /// Whether requests were refused lately for lack of capacity.
     pub(crate) is_refusing: bool,
+    /// Whether arrivals request more than the capacity.
+    pub(crate) is_contended: bool,
     /// Recent work of each workspace.
     pub(crate) usage_s: Vec<f64>,
 }
--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -2,10 +2,12 @@
 
 mod budget;
 mod cold;
+mod collisions;
 mod contention;
 mod fixture;
 mod order;
 mod overload;
 mod pool;
+mod queue;
 mod simulation;
 mod statement;
