--- a/crates/placement/tests/all/collisions.rs
+++ b/crates/placement/tests/all/collisions.rs
@@ -232,11 +232,11 @@
 }
 
 /// Guards against entries that send to a slot that another one takes. Of 1,000 requests
-/// at the usual rate 9 reached a full target when the last slot was used like any other;
-/// those that must not be repeated may lose at most a third of that.
+/// at the usual rate 9 reached a full target when the last slot was used like any other; at
+/// most a third of that may.
 #[test]
 fn few_sends_reach_a_full_target() {
-    for (idempotent, most) in [(true, 0.006), (false, 0.003)] {
+    for (idempotent, most) in [(true, 0.003), (false, 0.003)] {
         let mut shares = Vec::new();
         for rate in [337.0, 500.0, 700.0] {
             let (mut sends, mut rejected) = (0.0, 0.0);
