Grant tokens at once when all entries start together

An entry that knows of no process that is older than its own by more than a second grants from its start on, and its buckets hold the tokens of 0.4 s. No other entry can have granted them: the time of a restart is longer, and the overshoot of a window as well. An entry that starts beside others waits for half a second also if the candidates change meanwhile; they were granted tokens at the first change.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -83,6 +83,7 @@
     store_status: Mutex<StoreStatus>,
     /// Start of the process in Unix milliseconds.
     started_ms: u64,
+    pub(crate) started_at: Instant,
     /// Request rate of this entry over about the last second.
     rate: AtomicU32,
     leaving: AtomicBool,
@@ -172,6 +173,7 @@
             eras: Eras::default(),
             store_status: Mutex::default(),
             started_ms: unix_ms(),
+            started_at: Instant::now(),
             rate: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             history: Mutex::default(),
--- a/crates/node/src/quota.rs
+++ b/crates/node/src/quota.rs
@@ -19,6 +19,9 @@
 /// Shortest interval between two datagrams to one grantor for waiting callers.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Largest difference between the starts of entries that are started together.
+const COMMON_START_RANGE: Duration = Duration::from_secs(1);
+
 /// Time without a run of the task after which the process was frozen. The others
 /// replace a grantor that is silent for 0.9 s.
 const FROZEN_TIME: Duration = Duration::from_millis(700);
@@ -116,6 +119,10 @@
         state.allocator.set_candidates(Vec::new(), &[], now);
         return;
     }
+    let starts_with_all = peers.started_together(COMMON_START_RANGE);
+    state
+        .allocator
+        .set_common_start(starts_with_all.then_some(shared.started_at));
     let contact = peers.contact(shared.phase() == Phase::Leaving);
     if state.is_majority != contact.is_majority {
         state.is_majority = contact.is_majority;
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -341,6 +341,16 @@
         peers.filter(move |(_, peer)| peer.is_alive(now))
     }
 
+    /// Returns whether all entries that count as running started within a time of
+    /// `started_ms`, and none is known that does not run.
+    pub(crate) fn started_together(&self, started_ms: u64, range: Duration, now: Instant) -> bool {
+        let is_close = |peer: &Peer| {
+            let difference = Duration::from_millis(peer.version.0.abs_diff(started_ms));
+            peer.is_alive(now) && difference <= range
+        };
+        self.peers.values().all(is_close)
+    }
+
     /// Returns the entries of each zone that may act for others, as hubs or as readers
     /// of the store, this one included. Those with the largest capacity come first,
     /// because they have the bandwidth and the processor for it, and those of equal
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -206,6 +206,14 @@
         self.membership().contact(&self.shared.own, is_leaving, now)
     }
 
+    /// Returns whether all known entries started within a time of this one's start.
+    #[must_use]
+    pub fn started_together(&self, range: Duration) -> bool {
+        let started_ms = self.shared.settings.started_ms;
+        self.membership()
+            .started_together(started_ms, range, Instant::now())
+    }
+
     /// Returns whether this entry is a hub of its zone.
     #[must_use]
     pub fn is_hub(&self) -> bool {
--- a/crates/quota/src/allocator.rs
+++ b/crates/quota/src/allocator.rs
@@ -43,6 +43,14 @@
 /// know that it is back, they get tokens of another one. Hubs pass on the news at once.
 const RETURN_TIME: Duration = Duration::from_millis(500);
 
+/// Time before the start of all entries from which their buckets fill: less than the
+/// overshoot that a window may have, and than the time that a restart takes.
+const START_CREDIT: Duration = Duration::from_millis(400);
+
+/// Time from the start of all entries in which they find each other. The candidates
+/// change meanwhile, without an entry that granted before.
+const JOIN_TIME: Duration = Duration::from_secs(1);
+
 /// Largest value of the shortest time between the announcements of tokens to two refused
 /// entries, which bounds the number of requests while demand exceeds the limit.
 const MAX_PROMISE_GAP: Duration = Duration::from_millis(20);
@@ -66,6 +74,10 @@
     terms: VecDeque<(Instant, Vec<IpAddr>)>,
     /// Candidates before the last change.
     former: Vec<IpAddr>,
+    /// Start of all entries, if they started together.
+    common_start: Option<Instant>,
+    /// Time from which this entry grants after its start or return.
+    returned_at: Option<Instant>,
     accounts: HashMap<Key, Granting>,
     lost: HashSet<IpAddr>,
 }
@@ -92,11 +104,19 @@
             own,
             terms: VecDeque::new(),
             former: Vec::new(),
+            common_start: None,
+            returned_at: None,
             accounts: HashMap::new(),
             lost: HashSet::new(),
         }
     }
 
+    /// Sets the time at which all entries started, if they started together, so that no
+    /// entry has granted tokens before.
+    pub fn set_common_start(&mut self, start: Option<Instant>) {
+        self.common_start = start;
+    }
+
     /// Sets the candidates, in ascending order; none if this entry may not grant,
     /// because it is not in contact with more than half of the entries. `silent` holds
     /// the entries that are not heard, with the time at which they last were. A former
@@ -122,7 +142,11 @@
         let ends = ends.map(|(_, heard)| *heard + TAKEOVER_TIME);
         let mut from = ends.max().unwrap_or(now).max(now);
         if self.terms.back().is_none_or(|(_, last)| last.is_empty()) {
-            from = from.max(now + RETURN_TIME);
+            self.returned_at = Some(now + RETURN_TIME);
+        }
+        from = from.max(self.returned_at.unwrap_or(from));
+        if let Some(start) = self.common_start.filter(|start| now < *start + JOIN_TIME) {
+            from = start.checked_sub(START_CREDIT).unwrap_or(start);
         }
         if !candidates.is_empty() {
             self.former.clone_from(&candidates);
--- a/crates/quota/tests/all/main.rs
+++ b/crates/quota/tests/all/main.rs
@@ -10,4 +10,5 @@
 mod account;
 mod bounds;
 mod simulation;
+mod start;
 mod warmup;
