Review: no entry reads the store while it turns the first eight away

An entry takes the place of failing readers only if its rank is below eight. If the store turns away the first eight machines, none of the others reads it, although it serves them (CONFIG).

The store of the rig now serves each machine at an address of its own, by which it knows whom to turn away.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,4 +6,4 @@
     echo "target/release/carobdrift or target/review-2/rig is missing" >&2
     exit 2
 }
-exec target/review-2/rig drill review/7/record.txt
+exec target/review-2/rig turned-away review/7/record.txt
--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -23,14 +23,14 @@
 /// `configApply` of the bounds, in seconds.
 const CONFIG_APPLY_S: f64 = 2.0;
 
-/// Host of the stand-in of the store.
-const STORE_HOST: u8 = 60;
-
 /// First host of the targets.
-const TARGET_HOST: u8 = 20;
+const TARGET_HOST: u8 = 30;
 
 const ZONES: [&str; 3] = ["sofia-a", "sofia-b", "sofia-c"];
 
+/// `maxSkew` of the bounds, in seconds.
+const MAX_SKEW_S: f64 = 5.0;
+
 type Broken = Vec<String>;
 
 pub fn run(case: &str, is_troubled: bool, record: &Record) -> Result<Broken, String> {
@@ -38,6 +38,7 @@
         "drill" => drill(is_troubled, record),
         "stop" => stop(is_troubled, record),
         "limits" => limits(is_troubled, record),
+        "turned-away" => turned_away(is_troubled, record),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -55,8 +56,8 @@
 impl Installation {
     /// Starts entries, one in each of the zones in turn, with a desired state.
     fn start(count: u8, state: &str, record: &Record) -> Result<Self, String> {
-        let net = Net::find(60).map_err(text)?;
-        let store = Store::bind(net.address(STORE_HOST, 0)).map_err(text)?;
+        let net = Net::find(62).map_err(text)?;
+        let store = Store::open();
         let folder = env::temp_dir().join(format!("rig-2-{}", std::process::id()));
         fs::create_dir_all(&folder).map_err(text)?;
         let mut installation = Self {
@@ -69,13 +70,15 @@
         };
         installation.put_state(state)?;
         for host in 1..=count {
+            let address = installation.net.address(host, 8);
+            let served = installation.store.serve_machine(host, address);
+            served.map_err(text)?;
             let zone = ZONES[usize::from(host - 1) % ZONES.len()];
             let entry = Entry::prepare(
                 &installation.net,
                 host,
                 zone,
                 &ZONES,
-                &installation.store,
                 &installation.folder,
                 record,
             );
@@ -601,3 +604,121 @@
     }
     Ok(broken)
 }
+
+/// The store turns away the entries that read it, and serves the others.
+///
+/// The store answers 8 of 24 machines with 503 for 9 s: those that come first in the order in
+/// which entries read it. Right after that the operator moves a route to another service.
+/// The store confirms that, and serves the other 16 machines all the while.
+fn turned_away(is_troubled: bool, record: &Record) -> Result<Broken, String> {
+    const ENTRIES: u8 = 24;
+    const REFUSED: u8 = 8;
+    const BUDGET_MS: u64 = 2_500;
+    const INTERVAL: Duration = Duration::from_millis(250);
+    let routes = |service| {
+        let route = |name, prefix, service| Route {
+            name,
+            prefix,
+            service,
+            timeout_ms: 2_500,
+            target_latency_ms: 500,
+        };
+        [
+            route("book", "/book/", service),
+            route("old", "/old/", "oldbook"),
+            route("new", "/new/", "newbook"),
+        ]
+    };
+    let first = state(1, 1 << 20, &routes("oldbook"));
+    let mut installation = Installation::start(ENTRIES, &first, record)?;
+    let mut targets = Vec::new();
+    for number in 0..8 {
+        let service = if number < 4 { "oldbook" } else { "newbook" };
+        let work = Duration::from_millis(10);
+        targets.push((service, installation.target(number, service, 6, 8, work)?));
+    }
+    installation.start_entries()?;
+    thread::sleep(Duration::from_secs(4));
+
+    let ends = Arc::new(AtomicBool::new(false));
+    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+    // Those that the store serves.
+    let served = installation.entries.iter().enumerate();
+    let callers: Vec<_> = served
+        .skip(usize::from(REFUSED))
+        .map(|(index, entry)| {
+            let (front, ids) = (entry.front, Arc::clone(&installation.ids));
+            let (ends, outcomes) = (Arc::clone(&ends), Arc::clone(&outcomes));
+            let record = record.clone();
+            thread::spawn(move || {
+                while !ends.load(Ordering::SeqCst) {
+                    thread::sleep(INTERVAL);
+                    let opened = Connection::open(front, Duration::from_secs(1));
+                    let Ok(mut connection) = opened else {
+                        continue;
+                    };
+                    let id = next_id(&ids);
+                    let bytes = request("/book/slot", &id, BUDGET_MS, b"seat=1");
+                    let outcome = exchange(&mut connection, index, &bytes, &id, BUDGET_MS, &record);
+                    outcomes.lock().unwrap().push(outcome);
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(2));
+    if is_troubled {
+        record.line(format!("store turns away the machines 1 to {REFUSED}"));
+        installation.store.refuse(1..=REFUSED);
+    }
+    thread::sleep(Duration::from_millis(100));
+    installation.put_state(&state(9, 1 << 20, &routes("newbook")))?;
+    let confirmed = record.now();
+    thread::sleep(Duration::from_millis(8_900));
+    installation.store.refuse([]);
+    let returned = record.now();
+    record.line("store serves all machines");
+    thread::sleep(Duration::from_secs(4));
+    ends.store(true, Ordering::SeqCst);
+    for caller in callers {
+        let _ = caller.join();
+    }
+
+    let services: HashMap<String, &str> = targets
+        .iter()
+        .flat_map(|(service, target)| target.events().into_iter().map(|event| (*service, event)))
+        .filter(|(_, event)| event.began.is_some())
+        .map(|(service, event)| (event.attempt, service))
+        .collect();
+    let outcomes = outcomes.lock().unwrap();
+    let runs = |service: &str, from: f64, to: f64| {
+        let sent = outcomes.iter().filter(|o| o.sent > from && o.sent < to);
+        sent.filter(|o| services.get(&o.attempt) == Some(&service))
+            .count()
+    };
+    let bound = if is_troubled {
+        CONFIG_APPLY_S + MAX_SKEW_S
+    } else {
+        CONFIG_APPLY_S
+    };
+    let late = runs("oldbook", confirmed + bound, f64::MAX);
+    let newest = outcomes.iter().map(|o| o.sent).fold(0.0, f64::max);
+    record.line(format!(
+        "runs later than {bound} s after the confirmation: by the old service {late}, by the \
+         new one {}; by the new one before the store served all machines again {}; in the last \
+         second by the old one {}",
+        runs("newbook", confirmed + bound, f64::MAX),
+        runs("newbook", confirmed, returned),
+        runs("oldbook", newest - 1.0, f64::MAX)
+    ));
+    if runs("oldbook", 0.0, confirmed) == 0 || runs("newbook", newest - 1.0, f64::MAX) == 0 {
+        return Err("the services were not used before and after the change".to_owned());
+    }
+    let mut broken = Vec::new();
+    if late > 0 {
+        broken.push(format!(
+            "CONFIG: {late} requests that were sent later than {bound} s after the confirmation \
+             ran at the old service, by machines that the store served all the while"
+        ));
+    }
+    Ok(broken)
+}
--- a/review/rig-2/entry.rs
+++ b/review/rig-2/entry.rs
@@ -9,7 +9,6 @@
 
 use crate::http::{Connection, encode};
 use crate::record::Record;
-use crate::store::Store;
 
 pub const SIGTERM: i32 = 15;
 
@@ -48,7 +47,7 @@
     }
 
     fn is_free(&self, host: u8) -> bool {
-        (0..8).all(|offset| {
+        (0..9).all(|offset| {
             let address = self.address(host, offset);
             TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok()
         })
@@ -74,7 +73,6 @@
         host: u8,
         zone: &str,
         zones: &[&str],
-        store: &Store,
         folder: &Path,
         record: &Record,
     ) -> io::Result<Self> {
@@ -141,7 +139,7 @@
             ready = net.address(host, 1),
             control = net.address(host, 2),
             directory = net.address(host, 3),
-            store = store.address,
+            store = net.address(host, 8),
         );
         let settings = folder.join(format!("{name}.toml"));
         fs::write(&settings, text)?;
--- a/review/rig-2/store.rs
+++ b/review/rig-2/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in of the platform's store: rows, feeds, transactions, and the drill in which
 //! the store returns from an older copy.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
@@ -39,20 +39,19 @@
     away: bool,
     /// Number of the current open time; calls of an earlier one are not answered.
     opened: u64,
+    /// Machines that are turned away.
+    refused: HashSet<u8>,
 }
 
 #[derive(Clone)]
 pub struct Store {
-    pub address: SocketAddr,
     start: Instant,
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
 impl Store {
-    pub fn bind(address: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        let store = Self {
-            address: listener.local_addr()?,
+    pub fn open() -> Self {
+        Self {
             start: Instant::now(),
             state: Arc::new((
                 Mutex::new(State {
@@ -61,18 +60,31 @@
                     era: 1,
                     away: false,
                     opened: 0,
+                    refused: HashSet::new(),
                 }),
                 Condvar::new(),
             )),
-        };
-        let served = store.clone();
+        }
+    }
+
+    /// Serves a machine at an address of its own, by which the store knows it.
+    pub fn serve_machine(&self, machine: u8, address: SocketAddr) -> io::Result<()> {
+        let listener = TcpListener::bind(address)?;
+        let served = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = served.clone();
-                thread::spawn(move || store.serve(Connection::new(stream)));
+                thread::spawn(move || store.serve(Connection::new(stream), machine));
             }
         });
-        Ok(store)
+        Ok(())
+    }
+
+    /// Turns machines away: their calls get 503, and nothing is done.
+    pub fn refuse(&self, machines: impl IntoIterator<Item = u8>) {
+        let mut state = self.state.0.lock().unwrap();
+        state.refused = machines.into_iter().collect();
+        self.state.1.notify_all();
     }
 
     /// Writes a row as the operator or a target does. Fails while the store is away.
@@ -135,7 +147,7 @@
         self.state.1.notify_all();
     }
 
-    fn serve(&self, mut connection: Connection) {
+    fn serve(&self, mut connection: Connection, machine: u8) {
         let opened = self.state.0.lock().unwrap().opened;
         loop {
             let far = Instant::now() + Duration::from_secs(300);
@@ -143,7 +155,7 @@
                 return;
             };
             thread::sleep(ANSWER_TIME);
-            let Some((status, body)) = self.answer(&request, opened) else {
+            let Some((status, body)) = self.answer(&request, opened, machine) else {
                 // The call and its connection end without an answer.
                 return;
             };
@@ -159,12 +171,15 @@
         }
     }
 
-    fn answer(&self, request: &Message, opened: u64) -> Option<(u16, String)> {
+    fn answer(&self, request: &Message, opened: u64, machine: u8) -> Option<(u16, String)> {
+        if self.state.0.lock().unwrap().refused.contains(&machine) {
+            return Some((503, "{}".to_owned()));
+        }
         let target = request.second_word().to_owned();
         let (path, query) = target.split_once('?').unwrap_or((&target, ""));
         match path {
             "/api/rows-get" => self.rows(query, opened),
-            "/api/rows-feed" => self.feed(query, opened),
+            "/api/rows-feed" => self.feed(query, opened, machine),
             "/api/rows-tx" => self.transact(&String::from_utf8_lossy(&request.body), opened),
             _ => Some((404, "{}".to_owned())),
         }
@@ -203,7 +218,7 @@
         ))
     }
 
-    fn feed(&self, query: &str, opened: u64) -> Option<(u16, String)> {
+    fn feed(&self, query: &str, opened: u64, machine: u8) -> Option<(u16, String)> {
         let table = parameter(query, "table").unwrap_or_default();
         let after: u64 = parameter(query, "after")?.parse().ok()?;
         let wait: u64 = parameter(query, "waitMs")
@@ -215,6 +230,9 @@
             if Self::is_gone(&state, opened) {
                 return None;
             }
+            if state.refused.contains(&machine) {
+                return Some((503, "{}".to_owned()));
+            }
             if after > state.content.ver {
                 return Some((410, "{}".to_owned()));
             }
