Answer every request before an entry ends

Cause: at the end of a drain only the requests that no target had were answered. The others went on until the process ended. The next best guesses, an answer that isn't written in time and a reset by the target, are ruled out by the log: neither a request line nor event=no-answer, only event=stopped whole=false.

Change: all requests without a response are answered, with 503, the server error of an earlier attempt, or 504. http1::Drain decides when: not before the last sixth of the grace time, because a target may be at work, and early enough for the number of open connections. Requests read after the serving time are refused at once instead of after 100 ms, because an answer in place of their target is not permitted.

Tests, which fail on the code before: leaving::a_request_at_a_target_is_answered_before_the_entry_ends and leaving::a_request_after_the_serving_time_is_refused_and_not_run.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,5 @@
 //! Processing of a request from routing to its response.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -134,23 +133,17 @@
         permit.map(Some).map_err(Refusal::OverQuota)
     }
 
-    /// Runs the attempts of a request until the deadline of the request. If the entry
-    /// ends before, a request that no target has is refused.
+    /// Runs the attempts of a request until the deadline of the request, or until the
+    /// entry is about to end.
     async fn run_until_end(
         self: &Arc<Self>,
         call: &Arc<Call>,
         attempts: &mut Attempts,
     ) -> Result<Response, Refusal> {
-        let mut run = pin!(timeout_at(call.deadline, self.run(call, attempts)));
         let result = tokio::select! {
             biased;
-            result = &mut run => result,
-            () = self.ending.cancelled() => {
-                if !call.is_dispatched() {
-                    return Err(Refusal::Leaving);
-                }
-                run.await
-            }
+            result = timeout_at(call.deadline, self.run(call, attempts)) => result,
+            () = self.ending.cancelled() => return attempts.interrupt(call),
         };
         result.unwrap_or_else(|_| {
             Err(if call.is_dispatched() {
@@ -367,6 +360,16 @@
         self.finish(call, refusal).map(Some)
     }
 
+    /// Ends the request because the entry is about to end. Without a response the
+    /// caller would not learn whether it can send the request again.
+    fn interrupt(&mut self, call: &Call) -> Result<Response, Refusal> {
+        match self.fallback.take() {
+            Some(response) => Ok(response),
+            None if call.is_dispatched() => Err(Refusal::Interrupted),
+            None => Err(Refusal::Leaving),
+        }
+    }
+
     /// Ends the request without another attempt.
     fn finish(&mut self, call: &Call, refusal: Refusal) -> Result<Response, Refusal> {
         match self.fallback.take() {
@@ -381,7 +384,11 @@
 
 fn refuse(call: &Call, refusal: Refusal) -> LoggedResponse {
     debug_assert!(
-        !call.is_dispatched() || matches!(refusal, Refusal::Broken | Refusal::TimedOut),
+        !call.is_dispatched()
+            || matches!(
+                refusal,
+                Refusal::Broken | Refusal::TimedOut | Refusal::Interrupted
+            ),
         "a dispatched request must not be refused as not executed"
     );
     LoggedResponse {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -54,7 +54,7 @@
     draining: AtomicBool,
     /// Cancelled when requests that are read from then on are refused.
     pub(crate) stopped: CancellationToken,
-    /// Cancelled when requests that no target has are refused.
+    /// Cancelled when requests without a response are answered because the entry ends.
     pub(crate) ending: CancellationToken,
     requests: AtomicU64,
     /// Whether timers fire late because the processor is overloaded.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,20 +1,14 @@
 //! Listener for callers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use carobdrift_http1::{STOP_DELAY, listen};
+use carobdrift_http1::{Drain, listen};
 use tokio::net::TcpListener;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::gateway::Gateway;
 
-/// Time before the end of a drain at which requests that wait for a target are refused,
-/// so that their callers receive the refusals.
-const REFUSAL_MARGIN: Duration = Duration::from_millis(200);
-
 /// Listener for callers, with its open connections.
 #[derive(Debug)]
 pub struct Listener {
@@ -43,23 +37,14 @@
     }
 
     /// Stops accepting connections and reading requests, and waits until the requests
-    /// in progress have ended or the deadline passes. Requests that would be cut at the
-    /// deadline are refused as not executed: those that arrive late because they were
-    /// read slowly, and shortly before the deadline those that wait for a target.
-    /// Returns whether all requests have ended.
-    pub async fn drain(&self, deadline: Instant) -> bool {
+    /// in progress have ended or the drain ends. Requests that are read from now on are
+    /// refused as not executed. Shortly before its end every other request without a
+    /// response is answered: it is refused if no target has it. Returns whether all
+    /// requests have ended.
+    pub async fn drain(&self, drain: Drain) -> bool {
+        self.gateway.stopped.cancel();
         self.stop.cancel();
         self.connections.close();
-        let refuse = async {
-            tokio::time::sleep(STOP_DELAY).await;
-            self.gateway.stopped.cancel();
-            tokio::time::sleep_until(deadline - REFUSAL_MARGIN).await;
-            self.gateway.ending.cancel();
-            tokio::time::sleep_until(deadline).await;
-        };
-        tokio::select! {
-            () = self.connections.wait() => true,
-            () = refuse => false,
-        }
+        drain.run(&self.connections, &self.gateway.ending).await
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -43,6 +43,8 @@
     Broken,
     /// A target may still be executing the request.
     TimedOut,
+    /// The entry ends while a target may still be executing the request.
+    Interrupted,
 }
 
 impl Refusal {
@@ -59,6 +61,7 @@
             Self::NotExecuted => "not-executed",
             Self::Broken => "broken",
             Self::TimedOut => "timed-out",
+            Self::Interrupted => "interrupted",
         }
     }
 
@@ -76,7 +79,7 @@
             ),
             Self::Busy(wait) | Self::Paused(wait) => (StatusCode::SERVICE_UNAVAILABLE, Some(wait)),
             Self::Broken => (StatusCode::BAD_GATEWAY, None),
-            Self::TimedOut => (StatusCode::GATEWAY_TIMEOUT, None),
+            Self::TimedOut | Self::Interrupted => (StatusCode::GATEWAY_TIMEOUT, None),
         };
         let mut response = Response::new(status, Bytes::new());
         if let Some(retry_after) = retry_after {
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -40,7 +40,7 @@
 
 /// Time after a stop for which connections and requests that are on their way are
 /// still accepted.
-pub const STOP_DELAY: Duration = Duration::from_millis(100);
+const STOP_DELAY: Duration = Duration::from_millis(100);
 
 /// Memory of a response of which a part is still to come, in bytes: what the kernel
 /// receives of it while the caller is slow.
--- a/crates/http1/tests/all/main.rs
+++ b/crates/http1/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod callers;
 mod client;
+mod drain;
 mod fixture;
 mod fuzz;
 mod reference;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use carobdrift_gateway::{Dialect, Gateway, Listener, Metrics, Suspension};
-use carobdrift_http1::Budget;
+use carobdrift_http1::{Budget, Drain};
 use carobdrift_peers::{Data, Heartbeat, Peers, Phase, StoreHealth, Targets, Update, Watermark};
 use carobdrift_routing::{Difference, History, State};
 use carobdrift_units::{StoreRevision, Version, Zone};
@@ -264,8 +264,8 @@
         let grace = self.shared.settings.grace;
         let serving_time = (ADDRESS_TTL * TTL_OVERRUN_FACTOR).min(grace / 2);
         tokio::time::sleep_until(start + serving_time).await;
-        let deadline = start + grace.saturating_sub(SHUTDOWN_MARGIN);
-        let drained = self.listener.drain(deadline).await;
+        let drain = Drain::new(start, grace, SHUTDOWN_MARGIN);
+        let drained = self.listener.drain(drain).await;
         log::info!(
             target: "entry",
             "event=stopped whole={drained} ms={}",
