serve: answer every request before a drain ends

Callers saw: a request that was still without a response when the drain of `serve` timed out had its connection closed without an answer.

Listener::drain waited for its timeout and then dropped all connections.

Change: the drain uses http1::Drain. In its last part, requests that wait for a slot get 503 (not-run) and those at a target 504 (unknown), with the reason `stopping`. Responses whose head was sent are aborted at the end as before.

The test a_drain_ends_after_its_timeout expected the closed connection. It is replaced by a_drain_answers_requests_and_ends_at_its_timeout, which demands the answer, for both kinds of routes, and the end within the timeout; it fails on the code before ("the entry responds": the connection was closed). a_drain_breaks_off_a_response_whose_rest_does_not_arrive holds before and after; it keeps the part of the old test about requests that can't be answered.

--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -19,6 +19,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use log::debug;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{Outbound, TargetResponse};
 use crate::failure::{Failure, Outcome};
@@ -47,6 +48,8 @@
     pub(crate) services: Services,
     pub(crate) claims: Claims,
     pub(crate) via: HeaderValue,
+    /// Cancelled when requests without a response are answered because the entry ends.
+    pub(crate) ending: CancellationToken,
 }
 
 /// Body of a response to a caller.
@@ -167,7 +170,10 @@
             call,
             slot,
         } = self
-            .acquire_slot(started_at, &parts, &metadata, routed)
+            .until_ending(
+                Outcome::NotRun,
+                self.acquire_slot(started_at, &parts, &metadata, routed),
+            )
             .await?;
 
         headers::rewrite_request(
@@ -189,13 +195,16 @@
             active,
         };
         let retries = metadata.retries_left;
-        let (target_response, dispatch) = match (route.kind, upload) {
-            (Kind::Idempotent, Upload::Buffered(body)) => (
-                send_with_retries(&outbound, body, slot, retries).await?,
-                None,
-            ),
-            (_, upload) => send_once(&outbound, upload, slot, retries, grant).await?,
+        let send = async {
+            match (route.kind, upload) {
+                (Kind::Idempotent, Upload::Buffered(body)) => {
+                    let response = send_with_retries(&outbound, body, slot, retries).await?;
+                    Ok((response, None))
+                }
+                (_, upload) => send_once(&outbound, upload, slot, retries, grant).await,
+            }
         };
+        let (target_response, dispatch) = self.until_ending(Outcome::Unknown, send).await?;
         let target_time = outbound.first_sent_at.get().map(Instant::elapsed);
         let TargetResponse {
             mut head, mut body, ..
@@ -210,7 +219,10 @@
         }
         let body = match dispatch {
             None => ResponseBody::Relayed(Box::new(body)),
-            Some(dispatch) => match record(&head, body, dispatch).await? {
+            Some(dispatch) => match self
+                .until_ending(Outcome::Unknown, record(&head, body, dispatch))
+                .await?
+            {
                 Recording::Complete(bytes) => buffered(bytes),
                 Recording::Oversized(prefix, rest) => ResponseBody::Prefixed(prefix, rest),
             },
@@ -226,6 +238,29 @@
         Ok((response, "answered"))
     }
 
+    /// Waits for a step of a request, at most until the entry is about to end. `outcome`
+    /// states what is then known of the request.
+    async fn until_ending<T>(
+        &self,
+        outcome: Outcome,
+        step: impl Future<Output = Result<T, Failure>>,
+    ) -> Result<T, Failure> {
+        let status = match outcome {
+            Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+        };
+        tokio::select! {
+            biased;
+            result = step => result,
+            () = self.ending.cancelled() => Err(Failure::new(
+                status,
+                outcome,
+                "stopping",
+                "the entry ends before the request has a response",
+            )),
+        }
+    }
+
     /// Waits for a limited time until calls may be dispatched, if they may not
     /// be dispatched now.
     async fn require_confirmation(&self) -> Result<(), Failure> {
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use carobdrift_http1::Drain;
 use carobdrift_idempotency::Claims;
 use carobdrift_units::Instance;
 use http::{HeaderValue, Request};
@@ -20,6 +21,7 @@
 use prometheus::IntGauge;
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -72,6 +74,8 @@
     /// Token that stops accepting and ends each connection after its requests
     /// in progress.
     stop: CancellationToken,
+    /// Token that answers all requests without a response.
+    ending: CancellationToken,
     /// Token that ends all connections at once.
     abort: CancellationToken,
     connections: TaskTracker,
@@ -127,6 +131,7 @@
         let via = HeaderValue::try_from(format!("1.1 {instance}"))
             .unwrap_or_else(|_| HeaderValue::from_static("1.1 carobdrift"));
         let stop = CancellationToken::new();
+        let ending = CancellationToken::new();
         let abort = CancellationToken::new();
         let connections = TaskTracker::new();
         let acceptor = Acceptor {
@@ -140,6 +145,7 @@
                 services: services.clone(),
                 claims,
                 via,
+                ending: ending.clone(),
             }),
         };
         tokio::spawn(close_expired_connections(services, stop.clone()));
@@ -147,6 +153,7 @@
         Ok(Self {
             address,
             stop,
+            ending,
             abort,
             connections,
         })
@@ -159,14 +166,14 @@
     }
 
     /// Stops accepting connections and waits at most `timeout` for the requests
-    /// in progress; requests that are still in progress are then aborted.
+    /// in progress. Shortly before its end, requests without a response are answered;
+    /// responses whose rest is still in progress are aborted at its end.
     /// Returns whether all requests ended in time.
     pub async fn drain(self, timeout: Duration) -> bool {
         self.stop.cancel();
         self.connections.close();
-        let ended = tokio::time::timeout(timeout, self.connections.wait())
-            .await
-            .is_ok();
+        let drain = Drain::new(Instant::now(), timeout, Duration::ZERO);
+        let ended = drain.run(&self.connections, &self.ending).await;
         if !ended {
             let remaining = self.connections.len();
             warn!(target: "proxy", "{remaining} caller connections did not end within {} ms", timeout.as_millis());
--- a/crates/proxy/tests/all/drain.rs
+++ b/crates/proxy/tests/all/drain.rs
@@ -1,6 +1,6 @@
 //! Tests of the shutdown of an entry and of targets that leave.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use carobdrift_test_support::target::{Action, Faults};
 use futures_util::future::join_all;
@@ -45,19 +45,29 @@
     }
 }
 
-/// Guards against a drain that never ends.
+/// Guards against a drain that never ends, and against one that ends the connection of a
+/// request without an answer: its caller would not learn whether the request ran.
 #[tokio::test]
-async fn a_drain_ends_after_its_timeout() {
-    let entry = Entry::with_faults(&[late(800)]).await;
-    let address = entry.address();
-    let caller = tokio::spawn(async move { send(&client(false), &get("cut"), address).await });
-    tokio::time::sleep(Duration::from_millis(80)).await;
+async fn a_drain_answers_requests_and_ends_at_its_timeout() {
+    const TIMEOUT: Duration = Duration::from_millis(400);
+    for call in [get("cut"), post("cut")] {
+        let entry = Entry::with_faults(&[late(2_000)]).await;
+        let address = entry.address();
+        let caller = tokio::spawn(async move { send(&client(false), &call, address).await });
+        tokio::time::sleep(Duration::from_millis(80)).await;
 
-    let ended = entry.listener.drain(Duration::from_millis(100)).await;
+        let start = Instant::now();
+        entry.listener.drain(TIMEOUT).await;
 
-    assert!(!ended);
-    let response = caller.await.expect("the caller task does not panic");
-    assert!(response.is_err(), "{response:?}");
+        assert!(start.elapsed() < TIMEOUT + Duration::from_millis(200));
+        let response = caller.await.expect("the caller task does not panic");
+        let response = response.expect("the entry responds");
+        assert_eq!(
+            response.summary(),
+            (504, Some("unknown"), Some("stopping")),
+            "{response:?}"
+        );
+    }
 }
 
 /// Guards against interrupted requests and against new requests when a target
--- a/crates/proxy/tests/all/invalid.rs
+++ b/crates/proxy/tests/all/invalid.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::fixture::{Entry, Response, document, get, post, target};
+use crate::fixture::{Entry, Response, client, document, get, post, send, target};
 
 /// Size of an upload that the socket buffers of loopback can't hold.
 const LONG_UPLOAD_BYTES: usize = 12 * 1024 * 1024;
@@ -167,6 +167,23 @@
     }
 }
 
+/// Guards against a drain that waits for ever for the rest of a response, and against
+/// ending that response as if it were complete.
+#[tokio::test]
+async fn a_drain_breaks_off_a_response_whose_rest_does_not_arrive() {
+    let parts: &[&[u8]] = &[b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart"];
+    let entry = entry(&[raw_target(parts, Ending::Keep).await]).await;
+    let address = entry.address();
+    let caller = tokio::spawn(async move { send(&client(false), &get("rest"), address).await });
+    tokio::time::sleep(Duration::from_millis(80)).await;
+
+    let ended = entry.listener.drain(Duration::from_millis(200)).await;
+
+    assert!(!ended);
+    let response = caller.await.expect("the caller task does not panic");
+    assert!(response.is_err(), "{:?}", summary(&response));
+}
+
 /// Guards against the part of a response that arrived before a reset during an upload,
 /// passed on as the complete response.
 #[tokio::test]
