http1: reset a body that the end of the process cuts off

Callers saw: a response without a length to a caller that does not understand chunks ends with its connection. When the process ended meanwhile, the kernel closed the connection in order, so that the part that had arrived looked like the whole response.

Cause: the reset that marks such a response as incomplete was set up only in the error path of a write, which a process that ends does not reach.

Change: the reset is set up when the first part of such a response is written and taken back after its last part.

Test, which fails on the code before ("the body looks complete"): streaming::a_body_that_the_end_of_the_process_cuts_off_does_not_look_complete.

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -114,17 +114,16 @@
     {
         log::debug!(target: "entry", "event=send-buffer-failed error=\"{error}\"");
     }
-    let (read, mut writer) = stream.into_split();
+    let (read, writer) = stream.into_split();
+    // Dropping the writer would shut the connection down gracefully, which can make a
+    // response that broke off look complete, also when the process ends.
+    let mut writer = scopeguard::guard(writer, OwnedWriteHalf::forget);
     let mut reader = Reader::new(read, service.limits());
     let share = share.map(Arc::new);
     reader.set_share(share.clone());
-    if !run_exchanges(&mut reader, &mut writer, &service, &stop, share.as_deref()).await {
-        // Dropping the writer would shut the connection down gracefully, which
-        // can make a response that broke off look complete.
-        writer.forget();
-        return;
-    }
-    if writer.shutdown().await.is_ok() {
+    if run_exchanges(&mut reader, &mut writer, &service, &stop, share.as_deref()).await
+        && writer.shutdown().await.is_ok()
+    {
         // The time-out bounds the wait for a peer that does not close the
         // connection.
         tokio::select! {
@@ -178,7 +177,7 @@
             let is_closing = service.is_closing() || stop.is_cancelled();
             last |= is_closing && is_newest && !mid_message;
             let closes = last && is_newest;
-            let (response, hold) = start_output(answer, closes);
+            let (response, hold) = start_output(answer, closes, writer);
             output = Some(response);
             output_hold = hold;
         }
@@ -266,10 +265,13 @@
 
 /// Starts to write an answer. `closes` states whether the connection ends with
 /// it.
-fn start_output(answer: Answer, closes: bool) -> (Output, Option<Hold>) {
+fn start_output(answer: Answer, closes: bool, writer: &OwnedWriteHalf) -> (Output, Option<Hold>) {
     let mut response = answer.response;
     response.keep_alive = !closes;
     let output = Output::new(response, &answer.method, answer.accepts_chunks);
+    if output.framing() == Framing::Close {
+        set_abortive(writer, true);
+    }
     (output, answer.hold)
 }
 
@@ -318,19 +320,31 @@
     };
     match response.advance(writer).await {
         Ok(false) => Ok(None),
-        Ok(true) => Ok(output.take().map(|response| response.framing())),
+        Ok(true) => {
+            let framing = response.framing();
+            if framing == Framing::Close {
+                set_abortive(writer, false);
+            }
+            *output = None;
+            Ok(Some(framing))
+        }
         Err(error) => {
             log::debug!(target: "caller", "event=broken-off error=\"{error}\"");
-            if response.framing() == Framing::Close {
-                // Only a reset shows that the response is incomplete.
-                let _ = SockRef::from(AsRef::<TcpStream>::as_ref(writer))
-                    .set_linger(Some(Duration::ZERO));
-            }
             Err(())
         }
     }
 }
 
+/// Sets whether closing the connection resets it. A response that ends with the
+/// connection is shown to be incomplete by a reset alone, also if the process ends.
+fn set_abortive(writer: &OwnedWriteHalf, is_abortive: bool) {
+    let stream: &TcpStream = writer.as_ref();
+    let linger = is_abortive.then_some(Duration::ZERO);
+    if let Err(error) = SockRef::from(stream).set_linger(linger) {
+        log::debug!(target: "caller", "event=linger-failed error=\"{error}\"");
+    }
+}
+
 /// Waits until the stop takes effect: closing a listener or a connection at once
 /// would discard what its peers have just sent.
 async fn stopped(stop: &CancellationToken) {
--- a/crates/http1/tests/all/streaming.rs
+++ b/crates/http1/tests/all/streaming.rs
@@ -158,6 +158,53 @@
     assert!(is_reset, "{closed}");
 }
 
+/// Service whose responses state no length, and whose rest never arrives.
+#[derive(Debug)]
+struct Stalled;
+
+impl Service for Stalled {
+    fn limits(&self) -> Limits {
+        Limits {
+            head: 1024,
+            body: 0,
+        }
+    }
+
+    async fn call(self: Arc<Self>, _: Request) -> Response {
+        let mut response = Response::new(StatusCode::OK, Bytes::from_static(b"first"));
+        response.rest = Some(Rest {
+            length: None,
+            parts: futures_util::stream::pending().boxed(),
+        });
+        response
+    }
+}
+
+/// Guards against a response that the end of the process cuts off and that looks
+/// complete to the caller, because its body ends with the connection.
+#[test]
+fn a_body_that_the_end_of_the_process_cuts_off_does_not_look_complete() {
+    let inside = tokio::runtime::Runtime::new().unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut stream = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (accepted, _) = listener.accept().unwrap();
+    accepted.set_nonblocking(true).unwrap();
+    inside.spawn(async move {
+        let stream = TcpStream::from_std(accepted).unwrap();
+        serve(stream, Arc::new(Stalled), CancellationToken::new()).await;
+    });
+    std::io::Write::write_all(&mut stream, b"GET / HTTP/1.0\r\n\r\n").unwrap();
+    let mut head = [0; 16];
+    std::io::Read::read_exact(&mut stream, &mut head).unwrap();
+
+    drop(inside);
+    let rest = std::io::Read::read_to_end(&mut stream, &mut Vec::new());
+
+    assert!(head.starts_with(b"HTTP/1.1 200 OK"));
+    let error = rest.expect_err("the body looks complete");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
 /// Guards against surplus bytes of a body, which a caller would read as the next
 /// response.
 #[tokio::test]
