Read the store by any entry that it serves

Cause: should_read let an entry read in place of failing ones only if its rank was below 8.

Change: there is no largest rank. Entries state whether the store answers them, and while it is known to answer none, they try in rounds that double, so that 472 entries take 7 rounds of 150 ms. The delay of calls doubles with the rounds, too, which bounds the calls to a store that answers nobody: 253 a second at 472 entries. Those after two entries that are answered stop.

Tests, which fail on the code before: readers::entries_read_a_store_that_refuses_all_that_precede_them (not within 6 s at 12 of 12 entries) and, for the registrations, readers::removals_are_read_from_a_store_that_refuses_all_that_precede (12 requests at a target that is gone). node/readers tests the decision at 5, 24 and 472 entries without a network; it is new with it.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -32,13 +32,10 @@
 /// Delay after a change, so that one call returns changes in quick succession.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(120);
 
-/// Delay after the first failed call; doubles with each further failure.
+/// Delay after the first failed call; doubles with each further failure, up to a bound that
+/// depends on the position.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Upper bound of the delay after failed calls. The changes that a store holds when it
-/// returns must be in force everywhere 1.25 s later.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
-
 /// Delay after failed calls while the store answers other entries, which then read it in
 /// place of this one.
 const REPLACED_RETRY_DELAY: Duration = Duration::from_secs(4);
@@ -57,6 +54,9 @@
 /// should start to.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after the usual readers begin at a start in which other entries don't take over.
+const START_GRACE: Duration = Duration::from_millis(500);
+
 /// Interval at which an entry that is not registered checks whether it is a hub
 /// and must register in the store.
 const REGISTER_INTERVAL: Duration = Duration::from_secs(2);
@@ -98,7 +98,7 @@
     let mut registered = None;
     let mut searched = false;
     loop {
-        let is_isolated = position(&shared, &peers, Instant::now()).is_isolated();
+        let is_isolated = position(&shared, &peers, Instant::now()).is_isolated;
         if is_isolated && !searched {
             match shared.store.read(Subject::Entries).await {
                 Ok(batch) => {
@@ -136,14 +136,18 @@
 /// Watches one subject of the store while this entry is one of its readers.
 async fn watch_subject(shared: Arc<Shared>, peers: Peers, subject: Subject) {
     let mut after = None;
+    let mut is_reading = false;
     let mut retry_delay = MIN_RETRY_DELAY;
     let mut failing_since = None;
     loop {
-        if !should_read(&shared, &peers, subject) {
+        let position = position(&shared, &peers, Instant::now());
+        is_reading = should_read(&shared, position, is_reading, subject);
+        set_reading(&shared, position, is_reading, subject);
+        if !is_reading {
             after = None;
-            if failing_since.take().is_some() {
-                shared.set_store_failing(subject, false);
-            }
+            failing_since = None;
+            retry_delay = MIN_RETRY_DELAY;
+            announce_health(&shared, &peers).await;
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
@@ -161,11 +165,13 @@
             Ok(batch) => {
                 if failing_since.take().is_some() {
                     log::info!(target: "store", "event=regained subject={subject:?}");
-                    shared.set_store_failing(subject, false);
                 }
                 retry_delay = MIN_RETRY_DELAY;
-                shared.record_store_response(subject, Instant::now());
                 let era = batch.revision.era;
+                shared
+                    .store_status()
+                    .record_response(subject, Instant::now());
+                announce_health(&shared, &peers).await;
                 shared.eras.observe(era, "store");
                 let previous = after.replace(batch.revision);
                 if previous.is_some_and(|previous| previous.era != era) {
@@ -200,10 +206,10 @@
                         target: "store",
                         "event=lost subject={subject:?} error=\"{error}\""
                     );
-                    shared.set_store_failing(subject, true);
-                    peers.announce().await;
                 }
-                let age = shared.peer_store_age(now);
+                shared.store_status().record_failure(subject);
+                announce_health(&shared, &peers).await;
+                let age = shared.store_status().peer_age(now);
                 let failing_time = now.saturating_duration_since(since);
                 let is_replaced =
                     age <= MAX_REPLACED_AGE && age < failing_time.mul_f64(MAX_REPLACED_AGE_SHARE);
@@ -212,7 +218,7 @@
                 } else {
                     retry_delay
                 };
-                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
+                retry_delay = (retry_delay * 2).min(position.retry_limit());
                 tokio::time::sleep(delay).await;
             }
         }
@@ -236,13 +242,38 @@
     }
 }
 
+/// Announces how the store answers this entry, if that has changed.
+async fn announce_health(shared: &Shared, peers: &Peers) {
+    let health = shared.store_health();
+    if shared.store_status().replace_announced(health) != health {
+        log::info!(target: "store", "event=health state={health:?}");
+        peers.announce().await;
+    }
+}
+
+/// Records whether this entry reads a subject, and logs a change.
+fn set_reading(shared: &Shared, position: Position, is_reading: bool, subject: Subject) {
+    let now = Instant::now();
+    if shared.store_status().set_reading(subject, is_reading, now) {
+        log::info!(
+            target: "store",
+            "event=reading subject={subject:?} state={is_reading} rank={} failing={} readers={}",
+            position.rank, position.failing, position.readers
+        );
+    }
+}
+
 /// Returns whether this entry should read the store.
-fn should_read(shared: &Shared, peers: &Peers, subject: Subject) -> bool {
+fn should_read(shared: &Shared, position: Position, is_reading: bool, subject: Subject) -> bool {
     let now = Instant::now();
-    let position = position(shared, peers, now);
-    let store_age = shared.store_age(now);
+    let (store_age, unread_for) = {
+        let mut status = shared.store_status();
+        let started_at = shared.start.ranked_at() + START_GRACE;
+        let unread_for = status.unread_for(position.is_read, started_at, now);
+        (status.age(now), unread_for)
+    };
     let knowledge = Knowledge {
-        is_isolated: position.is_isolated(),
+        is_isolated: position.is_isolated,
         data: if shared.has_data(subject) {
             Data::Here
         } else if store_age < Duration::MAX {
@@ -250,7 +281,7 @@
         } else {
             Data::Nowhere
         },
-        is_reader: position.should_read(store_age),
+        is_reader: position.should_read(is_reading, unread_for),
     };
     shared.start.should_read(knowledge, now)
 }
@@ -382,7 +413,9 @@
                 shared.eras.observe(watermark.targets.era, "peer");
                 if watermark.store_age_ms < u32::MAX {
                     let store_age = Duration::from_millis(watermark.store_age_ms.into());
-                    shared.record_peer_store_age(store_age);
+                    shared
+                        .store_status()
+                        .record_peer_age(store_age, Instant::now());
                 }
                 begin_catch_up(&shared, &peers, from, watermark);
             }
@@ -612,6 +645,6 @@
 
 /// Records the age of the newest store response that any entry knows of.
 fn observe_store_age(shared: &Shared, now: Instant) {
-    let age = shared.store_age(now);
+    let age = shared.store_status().age(now);
     shared.replica().observe_store_age(age, now);
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod sources;
 mod start;
+mod status;
 mod store;
 mod task;
 
@@ -25,6 +26,7 @@
 pub use evacuation::Evacuations;
 pub use logging::{LogError, set_up_logging};
 pub use node::{Error, Node};
+pub use reader::Position;
 pub use replica::Replica;
 pub use settings::Settings;
 pub use start::{Data, Knowledge, Start};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -27,6 +27,7 @@
 use crate::replica::Replica;
 use crate::settings::Settings;
 use crate::start::Start;
+use crate::status::Status;
 use crate::store::{Store, Subject};
 use crate::task;
 
@@ -79,8 +80,7 @@
     replica: Mutex<Replica>,
     evacuations: Mutex<Evacuations>,
     pub(crate) eras: Eras,
-    /// Status of the store for the desired state and the targets.
-    store_status: Mutex<StoreStatus>,
+    store_status: Mutex<Status>,
     /// Start of the process in Unix milliseconds.
     started_ms: u64,
     pub(crate) started_at: Instant,
@@ -118,21 +118,6 @@
     }
 }
 
-/// Status of the store as known to this entry.
-#[derive(Debug, Default)]
-struct StoreStatus {
-    /// Last successful response to this entry about the desired state.
-    state_response: Option<Instant>,
-    /// Last successful response to this entry about the targets.
-    targets_response: Option<Instant>,
-    /// Last successful response to another entry that this one knows of.
-    peer_response: Option<Instant>,
-    /// Whether the last call for the desired state failed.
-    state_failing: bool,
-    /// Whether the last call for the targets failed.
-    targets_failing: bool,
-}
-
 /// Running entry.
 pub struct Node {
     shared: Arc<Shared>,
@@ -284,56 +269,15 @@
         evacuations.unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn store_status(&self) -> MutexGuard<'_, StoreStatus> {
+    pub(crate) fn store_status(&self) -> MutexGuard<'_, Status> {
         self.store_status
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records a successful response of the store.
-    pub(crate) fn record_store_response(&self, subject: Subject, now: Instant) {
-        let mut store_status = self.store_status();
-        match subject {
-            Subject::State => store_status.state_response = Some(now),
-            Subject::Targets => store_status.targets_response = Some(now),
-            Subject::Entries => {}
-        }
-    }
-
-    /// Records whether calls to the store fail.
-    pub(crate) fn set_store_failing(&self, subject: Subject, is_failing: bool) {
-        let mut store_status = self.store_status();
-        match subject {
-            Subject::State => store_status.state_failing = is_failing,
-            Subject::Targets => store_status.targets_failing = is_failing,
-            Subject::Entries => {}
-        }
-    }
-
-    /// Records the age of a store response that another entry knows of.
-    pub(crate) fn record_peer_store_age(&self, age: Duration) {
-        let at = Instant::now().checked_sub(age);
-        let mut store_status = self.store_status();
-        store_status.peer_response = store_status.peer_response.max(at);
-    }
-
-    /// Returns the age of the newest successful store response to another entry
-    /// that this one knows of.
-    pub(crate) fn peer_store_age(&self, now: Instant) -> Duration {
-        let response = self.store_status().peer_response;
-        response.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
-    }
-
-    /// Returns the age of the newest successful store response that this entry
-    /// knows of.
-    pub(crate) fn store_age(&self, now: Instant) -> Duration {
-        let store_status = self.store_status();
-        let own_response = store_status
-            .state_response
-            .min(store_status.targets_response);
-        own_response
-            .max(store_status.peer_response)
-            .map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+    /// Returns how the store answers this entry.
+    pub(crate) fn store_health(&self) -> StoreHealth {
+        self.store_status().health()
     }
 
     /// Returns whether the entry has the data of a subject, from the store or
@@ -376,10 +320,6 @@
     }
 
     fn heartbeat(&self, sequence: u32) -> Heartbeat {
-        let is_failing = {
-            let store_status = self.store_status();
-            store_status.state_failing || store_status.targets_failing
-        };
         Heartbeat {
             started_ms: self.started_ms,
             sequence,
@@ -387,18 +327,14 @@
             phase: self.phase(),
             capacity: self.settings.capacity,
             rate: self.rate.load(Ordering::Relaxed),
-            store: if is_failing {
-                StoreHealth::Failing
-            } else {
-                StoreHealth::Healthy
-            },
+            store: self.store_health(),
             watermark: self.watermark(),
             evacuations: self.evacuations().list(),
         }
     }
 
     fn watermark(&self) -> Watermark {
-        let age = self.store_age(Instant::now()).as_millis();
+        let age = self.store_status().age(Instant::now()).as_millis();
         Watermark {
             state: self.gateway.version(),
             targets: self.replica().revision(),
--- a/crates/node/src/reader.rs
+++ b/crates/node/src/reader.rs
@@ -10,32 +10,37 @@
 /// loss of one leaves no gap.
 const READER_COUNT: usize = 2;
 
-/// Largest number of entries that read the store while readers report failed
-/// calls. Calls of further entries would only add load to a failing store.
-const MAX_READERS: usize = 8;
-
 /// Time without a datagram of any other entry after which this entry counts as
 /// isolated and reads the store itself.
 const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1300);
 
-/// Age of the newest store response known to any entry beyond which further
-/// entries read the store, whether or not the readers report failures.
-const STORE_STALE_TIMEOUT: Duration = Duration::from_millis(4500);
+/// Time between two rounds of entries that try to read the store while it is not known to
+/// answer any entry. The answer to an entry must be known to the others within it.
+const ROUND_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Upper bound of the delay between two calls of an entry of the first round, while the
+/// store does not answer. Changes that a store holds when it returns must be in force
+/// everywhere 1.25 s later.
+const MIN_RETRY_LIMIT: Duration = Duration::from_millis(500);
 
-/// Additional delay of each further rank before the entry reads a stale store.
-const RANK_DELAY: Duration = Duration::from_millis(100);
-/// Upper bound of the delay by rank.
-const MAX_RANK_DELAY: Duration = Duration::from_secs(2);
+/// The same for entries of late rounds: all of them together add less to the load of a
+/// failing store than the first round, up to a hundred entries.
+const MAX_RETRY_LIMIT: Duration = Duration::from_secs(4);
 
-/// Position of this entry in the order in which entries read the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Position {
+/// Position of this entry in the order in which entries read the store, and what is known
+/// of those that precede it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Position {
     /// Number of entries that precede this one.
-    rank: usize,
+    pub rank: usize,
     /// Number of preceding entries whose store calls fail.
-    failing: usize,
-    /// Whether no other entry was heard for [`ISOLATION_TIMEOUT`].
-    isolated: bool,
+    pub failing: usize,
+    /// Number of preceding entries that the store answers.
+    pub readers: usize,
+    /// Whether the store answers any other entry.
+    pub is_read: bool,
+    /// Whether no other entry was heard for some time.
+    pub is_isolated: bool,
 }
 
 impl Position {
@@ -52,38 +57,59 @@
         });
         let mut ordered: Vec<_> = ordered.collect();
         ordered.sort_unstable_by_key(|(order, _)| *order);
-        let preceding = ordered
-            .iter()
-            .map(|(_, candidate)| candidate)
-            .take_while(|candidate| candidate.address != own.address);
-        let (mut rank, mut failing) = (0, 0);
-        for candidate in preceding {
-            rank += 1;
-            failing += usize::from(candidate.store == StoreHealth::Failing);
-        }
-        Self {
-            rank,
-            failing,
-            isolated: membership.contact_age(now) > ISOLATION_TIMEOUT,
+        let ordered = ordered.into_iter().map(|(_, candidate)| candidate);
+        let mut position = Self {
+            is_isolated: membership.contact_age(now) > ISOLATION_TIMEOUT,
+            ..Self::default()
+        };
+        let mut is_preceding = true;
+        for candidate in ordered {
+            is_preceding &= candidate.address != own.address;
+            position.is_read |= candidate.is_reader;
+            if is_preceding {
+                position.rank += 1;
+                position.failing += usize::from(candidate.store == StoreHealth::Failing);
+                position.readers += usize::from(candidate.is_reader);
+            }
         }
+        position
     }
 
-    /// Returns whether no other entry was heard recently.
-    pub(crate) fn is_isolated(self) -> bool {
-        self.isolated
-    }
-
-    /// Returns whether this entry should read the store, given the age of the
-    /// newest store response that it knows of.
-    pub(crate) fn should_read(self, store_age: Duration) -> bool {
-        if self.isolated || self.rank < READER_COUNT {
+    /// Returns whether this entry should read the store. `is_reading` states whether it
+    /// does, and `unread_for` for how long the store has not been known to answer any
+    /// entry.
+    ///
+    /// Each entry whose calls fail calls in as many others as there are readers, and each
+    /// round without an answer is followed by another one that is twice as large. So any
+    /// entry that the store answers reads it soon, whichever entries it does not answer.
+    #[must_use]
+    pub fn should_read(self, is_reading: bool, unread_for: Duration) -> bool {
+        if self.is_isolated {
             return true;
         }
-        if self.rank < MAX_READERS && self.rank - self.failing < READER_COUNT {
-            return true;
+        if self.readers >= READER_COUNT {
+            return false;
         }
-        let rank = u32::try_from(self.rank).unwrap_or(u32::MAX);
-        let delay = RANK_DELAY.saturating_mul(rank).min(MAX_RANK_DELAY);
-        self.rank < MAX_READERS && store_age > STORE_STALE_TIMEOUT + delay
+        // An entry that reads goes on until others do, so that a change of the order
+        // leaves no gap.
+        is_reading
+            || self.rank < READER_COUNT * (1 + self.failing)
+            || unread_for > ROUND_INTERVAL * self.round()
+    }
+
+    /// Returns the upper bound of the delay between two calls while the store does not
+    /// answer this entry. It doubles with each round, as does the number of entries.
+    #[must_use]
+    pub fn retry_limit(self) -> Duration {
+        let doublings = 2_u32.saturating_pow(self.round());
+        MIN_RETRY_LIMIT
+            .saturating_mul(doublings)
+            .min(MAX_RETRY_LIMIT)
+    }
+
+    /// Returns the round in which this entry tries to read the store: 0 for the usual
+    /// readers, and 1, 2, 3 for the next 4, 8, 16 entries.
+    fn round(self) -> u32 {
+        (self.rank / READER_COUNT + 1).ilog2()
     }
 }
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod era;
 mod evacuation;
+mod readers;
 mod replica;
 mod start;
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -41,8 +41,10 @@
 /// Health of an entry's connection to the platform's store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreHealth {
-    /// The entry does not read the store, or its last calls were answered.
-    Healthy,
+    /// The entry does not read the store, or has had no answer yet.
+    Idle,
+    /// The entry reads the store, which answers its calls.
+    Answering,
     /// The entry's last call to the store failed.
     Failing,
 }
--- a/crates/peers/src/digest.rs
+++ b/crates/peers/src/digest.rs
@@ -54,7 +54,9 @@
     started_ms: u64,
     phase: Phase,
     capacity: u32,
-    store: StoreHealth,
+    /// Whether the store answers the entry. When it answers none, hundreds of entries
+    /// find that their calls fail, which others need not know.
+    is_answered: bool,
 }
 
 impl Tracker {
@@ -88,7 +90,7 @@
             started_ms: member.started_ms,
             phase: member.phase,
             capacity: member.capacity,
-            store: member.store,
+            is_answered: member.store == StoreHealth::Answering,
         };
         let last = self.last.entry(member.address).or_insert(Advertised {
             attributes,
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -22,6 +22,11 @@
 /// because a frozen entry delays the requests of its callers.
 const RESPONSIVE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time without news of an entry that reads the store after which it counts as lost
+/// for this purpose. Such entries send four heartbeats a second to all hubs; one of them
+/// may be lost, and the next one late.
+const READER_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Time without a datagram of any entry after which this one is out of contact. A hub
 /// gets at least four a second.
 const ISOLATION_TIMEOUT: Duration = Duration::from_millis(600);
@@ -72,6 +77,8 @@
     pub capacity: u32,
     /// Health of the entry's connection to the platform's store.
     pub store: StoreHealth,
+    /// Whether the store is known to answer the entry now.
+    pub is_reader: bool,
 }
 
 impl Candidate {
@@ -85,17 +92,8 @@
         Self {
             address: own.address,
             capacity: own.capacity,
-            store: StoreHealth::Healthy,
-        }
-    }
-}
-
-impl From<(IpAddr, &Peer)> for Candidate {
-    fn from((address, peer): (IpAddr, &Peer)) -> Self {
-        Self {
-            address,
-            capacity: peer.capacity,
-            store: peer.store,
+            store: StoreHealth::Idle,
+            is_reader: false,
         }
     }
 }
@@ -136,6 +134,14 @@
         now.saturating_duration_since(self.last_heard) <= RESPONSIVE_TIMEOUT
     }
 
+    /// Returns whether the store answers the entry, as of recent news.
+    #[must_use]
+    pub fn is_reader(&self, now: Instant) -> bool {
+        self.store == StoreHealth::Answering
+            && self.phase != Phase::Leaving
+            && now.saturating_duration_since(self.last_heard) <= READER_TIMEOUT
+    }
+
     /// Returns whether the entry counts as running.
     #[must_use]
     pub fn is_alive(&self, now: Instant) -> bool {
@@ -166,7 +172,8 @@
     }
 
     /// Applies the reported state of an entry. Returns whether the entry is new
-    /// or back, is another process, or changed its phase.
+    /// or back, is another process, changed its phase, or began or ceased to be answered
+    /// by the store.
     pub(crate) fn update(&mut self, address: IpAddr, peer: Peer, now: Instant) -> bool {
         self.candidates.remove(&address);
         let Some(known) = self.peers.get_mut(&address) else {
@@ -186,8 +193,11 @@
             };
             return false;
         }
-        let changed =
-            known.version.0 != peer.version.0 || known.phase != peer.phase || !known.is_alive(now);
+        let is_answered = |peer: &Peer| peer.store == StoreHealth::Answering;
+        let changed = known.version.0 != peer.version.0
+            || known.phase != peer.phase
+            || is_answered(known) != is_answered(&peer)
+            || !known.is_alive(now);
         *known = Peer { last_heard, ..peer };
         changed
     }
@@ -366,10 +376,12 @@
             // News of other zones arrive once a second.
             let is_present = peer.zone != own.zone || peer.is_responsive(now);
             if peer.phase != Phase::Leaving && is_present {
-                zones
-                    .entry(peer.zone.clone())
-                    .or_default()
-                    .push(Candidate::from((address, peer)));
+                zones.entry(peer.zone.clone()).or_default().push(Candidate {
+                    address,
+                    capacity: peer.capacity,
+                    store: peer.store,
+                    is_reader: peer.is_reader(now),
+                });
             }
         }
         for candidates in zones.values_mut() {
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::panic::AssertUnwindSafe;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,7 +20,8 @@
 
 use crate::answer::{Targets, Update};
 use crate::datagram::{
-    Datagram, Delta, Digest, Evacuation, Heartbeat, MAX_DATAGRAM_BYTES, Member, Row, Watermark,
+    Datagram, Delta, Digest, Evacuation, Heartbeat, MAX_DATAGRAM_BYTES, Member, Row, StoreHealth,
+    Watermark,
 };
 use crate::digest::Tracker;
 use crate::membership::{Contact, Identity, Membership, Peer};
@@ -122,6 +123,8 @@
     own: Identity,
     membership: Mutex<Membership>,
     sequence: AtomicU32,
+    /// Whether the store answered this entry as of its last heartbeat.
+    answered: AtomicBool,
     /// Tracker of the entries that this entry, as a hub, listed in digests.
     tracker: Mutex<Tracker>,
     /// Time of the last request for all entries of the zone.
@@ -150,6 +153,7 @@
                 settings,
                 membership: Mutex::default(),
                 sequence: AtomicU32::new(0),
+                answered: AtomicBool::new(false),
                 tracker: Mutex::default(),
                 requested: Mutex::new(None),
                 heartbeat: data.heartbeat,
@@ -339,7 +343,14 @@
 
     async fn send_heartbeat(&self) {
         let heartbeat = self.heartbeat();
-        let mut addresses = self.zone_hubs();
+        // The hubs of all zones must notice soon when a reader of the store is lost.
+        let is_answered = heartbeat.store == StoreHealth::Answering;
+        let was_answered = self.shared.answered.swap(is_answered, Ordering::Relaxed);
+        let mut addresses = if is_answered || was_answered {
+            self.all_hubs()
+        } else {
+            self.zone_hubs()
+        };
         addresses.extend(self.membership().candidates());
         // Groups of entries that were cut from each other meet again through
         // their hubs. An entry without contact is a hub of its own.
@@ -393,8 +404,13 @@
                 .map(|(address, peer)| member(address, peer, now))
                 .collect()
         };
-        // The hubs of a zone are among its first entries in this order.
-        remote.sort_unstable_by_key(|member| (Reverse(member.capacity), member.address));
+        // The hubs of a zone are among its first entries in this order. Entries that read
+        // the store come before them, because others read it in their place once they
+        // are lost.
+        remote.sort_unstable_by_key(|member| {
+            let is_answered = member.store == StoreHealth::Answering;
+            (Reverse((is_answered, member.capacity)), member.address)
+        });
         let mut counts: HashMap<Zone, usize> = HashMap::new();
         remote.retain(|member| {
             let count = counts.entry(member.zone.clone()).or_default();
@@ -528,8 +544,8 @@
                 if changed {
                     log::info!(
                         target: "peers",
-                        "event=changed peer={from} zone={} phase={:?} started={}",
-                        heartbeat.zone, heartbeat.phase, heartbeat.started_ms
+                        "event=changed peer={from} zone={} phase={:?} store={:?} started={}",
+                        heartbeat.zone, heartbeat.phase, heartbeat.store, heartbeat.started_ms
                     );
                     if self.is_hub() {
                         self.send_change(from, &Peer::from((&heartbeat, now))).await;
--- a/crates/peers/tests/all/fixture.rs
+++ b/crates/peers/tests/all/fixture.rs
@@ -82,7 +82,7 @@
                 phase: Phase::Ready,
                 capacity,
                 rate: heartbeat_state.rate.load(Ordering::SeqCst),
-                store: StoreHealth::Healthy,
+                store: StoreHealth::Idle,
                 watermark: watermark(&heartbeat_state),
                 evacuations: Vec::new(),
             }),
