Use targets that do not report their load

Cause: an answered probe without a load report counted as an unanswered one, and only a report cleared the count, until each target cost more than a request may. The first request is served and later ones are not, which rules out that a target without a report is never suitable; there were no refusals.

Change: an answer without a report clears the count. A target that reports no load is chosen by the requests of this entry alone and not probed for a load; one that refuses counts as full for some time. Broken answers and refusals are outcomes of their own.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -230,8 +230,9 @@
     /// it is leaving, or that it wants no requests for some time.
     pub(crate) fn record_statements(&self, endpoint: &Endpoint, response: &Response) {
         let headers = &response.headers;
-        if let Some(load) = self.dialect.load(headers) {
-            self.services.record_load(endpoint, load);
+        match self.dialect.load(headers) {
+            Some(load) => self.services.record_load(endpoint, load),
+            None => self.services.record_missing_report(endpoint),
         }
         if let Some(warmup) = self.dialect.warmup(headers) {
             self.services.with_pool(&endpoint.service, |pool, now| {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carobdrift_http1::encode_request;
+use carobdrift_http1::{Response, encode_request};
 use carobdrift_placement::Endpoint;
 use http::header::HOST;
 use http::{HeaderMap, HeaderValue, Method};
@@ -23,8 +23,12 @@
 pub(crate) enum Outcome {
     /// The target reported its load.
     Load,
-    /// The target did not report its load.
+    /// The target answered without reporting its load.
     NoLoad,
+    /// The target refused the probe, as it refuses requests while it is full.
+    Refused,
+    /// The connection ended without a valid answer, or the answer is too large to be read.
+    Broken,
     /// The target can't be reached, or another target has its address.
     Unreachable,
     /// The target did not answer in time.
@@ -36,6 +40,8 @@
         match self {
             Self::Load => "load",
             Self::NoLoad => "no-load",
+            Self::Refused => "refused",
+            Self::Broken => "broken",
             Self::Unreachable => "unreachable",
             Self::TimedOut => "timed-out",
         }
@@ -53,12 +59,17 @@
             .with_label_values(&[outcome.as_str()])
             .inc();
         match outcome {
-            Outcome::Load => {}
+            Outcome::Load | Outcome::NoLoad => {}
             Outcome::Unreachable => {
                 self.mark_unreachable(endpoint, "probe", &"no answer of this target");
                 self.upstreams.remove(&endpoint.id);
             }
-            Outcome::NoLoad | Outcome::TimedOut => {
+            Outcome::Refused => {
+                self.services.with_pool(&endpoint.service, |pool, now| {
+                    pool.record_refused_probe(&endpoint.id, now);
+                });
+            }
+            Outcome::Broken | Outcome::TimedOut => {
                 log::debug!(
                     target: "target",
                     "event=unanswered target={} result={}",
@@ -72,6 +83,11 @@
         outcome
     }
 
+    fn is_refusal(&self, response: &Response) -> bool {
+        self.dialect
+            .is_not_executed(response.status, &response.headers)
+    }
+
     async fn request_load(&self, endpoint: &Endpoint, path: &str) -> Outcome {
         let mut headers = HeaderMap::new();
         if let Ok(host) = HeaderValue::try_from(endpoint.address.to_string()) {
@@ -94,7 +110,7 @@
             }
             // The target may have closed the kept connection, which does not mean
             // that it is unreachable.
-            None if reused => Outcome::NoLoad,
+            None if reused => Outcome::Broken,
             None => Outcome::Unreachable,
         }
     }
@@ -118,7 +134,7 @@
             .await
             .ok()?;
         if upstream.connection.is_within_response() {
-            return Some(Outcome::NoLoad);
+            return Some(Outcome::Broken);
         }
         // A probe has no attempt id, so this is the response to another exchange.
         if self.dialect.attempt_id(&response.headers).is_some() {
@@ -134,6 +150,7 @@
         });
         Some(match self.dialect.load(&response.headers) {
             Some(_) => Outcome::Load,
+            None if self.is_refusal(&response) => Outcome::Refused,
             None => Outcome::NoLoad,
         })
     }
--- a/crates/gateway/src/services.rs
+++ b/crates/gateway/src/services.rs
@@ -181,6 +181,14 @@
         self.admission.wake_first(&endpoint.service);
     }
 
+    /// Records an answer of a target that does not state its load.
+    pub(crate) fn record_missing_report(&self, endpoint: &Endpoint) {
+        self.with_pool(&endpoint.service, |pool, now| {
+            pool.record_missing_report(&endpoint.id, now);
+        });
+        self.admission.wake_first(&endpoint.service);
+    }
+
     /// Records that a target broke off a response after its attempt had ended.
     pub(crate) fn record_failure(&self, endpoint: &Endpoint) {
         self.with_pool(&endpoint.service, |pool, now| {
--- a/crates/placement/src/candidate.rs
+++ b/crates/placement/src/candidate.rs
@@ -53,6 +53,14 @@
 /// them the target is as costly as a slow one.
 const MAX_UNANSWERED_PROBES: u32 = 4;
 
+/// Slowdown of a target that does not report its load. The service time of its requests is
+/// then their mean duration, in which its slow times count.
+const UNREPORTED_SLOWDOWN: f64 = 1.0;
+
+/// Number of successive answers without a load report after which a target that reported
+/// its load before counts as one that reports none.
+const MAX_MISSING_REPORTS: u32 = 3;
+
 /// Time between two probes of a target that was added later and has had no
 /// request yet.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
@@ -107,8 +115,14 @@
     /// Whether the target is in the availability zone of this entry.
     pub(crate) local: bool,
     report: Option<Report>,
+    /// Answers without a report since the last one with a report.
+    missing_reports: u32,
+    /// Time of the last answer, with a report or without.
+    answered: Option<Instant>,
+    /// Time of the last refusal of a request or a probe.
+    refused: Option<Instant>,
     last_probe: Option<Instant>,
-    /// Probes without an answer since the last report.
+    /// Probes without an answer since the last answer.
     unanswered_probes: u32,
     in_flight: Vec<Attempt>,
     health: Health,
@@ -146,6 +160,9 @@
             endpoint,
             local,
             report: None,
+            missing_reports: 0,
+            answered: None,
+            refused: None,
             last_probe: None,
             unanswered_probes: 0,
             in_flight: Vec::new(),
@@ -228,6 +245,9 @@
     ) -> Option<Completed> {
         let index = self.in_flight.iter().position(|attempt| attempt.id == id)?;
         let attempt = self.in_flight.swap_remove(index);
+        if outcome == Outcome::Refused {
+            self.record_refusal(now);
+        }
         match outcome {
             Outcome::Success => self.health.record_success(now),
             Outcome::Failure => self.health.record_failure(now),
@@ -243,6 +263,11 @@
         })
     }
 
+    /// Records that the target refused a request or a probe.
+    pub(crate) fn record_refusal(&mut self, now: Instant) {
+        self.refused = Some(now);
+    }
+
     pub(crate) fn record_failure(&mut self, now: Instant) {
         self.health.record_failure(now);
     }
@@ -252,13 +277,12 @@
     }
 
     /// Whether a recent probe is still unanswered. No further probe is needed
-    /// then, because the report in the answer serves all requests.
+    /// then, because its answer serves all requests.
     pub(crate) fn is_probe_pending(&self, now: Instant) -> bool {
-        let answered = self.report.map(|report| report.received);
         self.last_probe.is_some_and(|at| {
             let interval =
                 PROBE_INTERVAL * 2_u32.pow(self.unanswered_probes.min(MAX_PROBE_DOUBLINGS));
-            answered < Some(at) && now.saturating_duration_since(at) < interval
+            self.answered < Some(at) && now.saturating_duration_since(at) < interval
         })
     }
 
@@ -268,11 +292,10 @@
         self.untried && now >= self.warmup_until
     }
 
-    /// Whether the last report and the last probe are both older than the trial
+    /// Whether the last answer and the last probe are both older than the trial
     /// interval.
     pub(crate) fn is_probe_due(&self, now: Instant) -> bool {
-        let last_report = self.report.map(|report| report.received);
-        last_report
+        self.answered
             .max(self.last_probe)
             .is_none_or(|at| now.saturating_duration_since(at) >= TRIAL_INTERVAL)
     }
@@ -283,6 +306,8 @@
 
     pub(crate) fn record_load(&mut self, load: Load, now: Instant) {
         self.unanswered_probes = 0;
+        self.missing_reports = 0;
+        self.answered = Some(now);
         self.report = Some(Report {
             load,
             received: now,
@@ -290,8 +315,31 @@
         });
     }
 
+    /// Records an answer that does not state the load.
+    pub(crate) fn record_missing_report(&mut self, now: Instant) {
+        self.unanswered_probes = 0;
+        self.missing_reports = self.missing_reports.saturating_add(1);
+        self.answered = Some(now);
+        if self.missing_reports >= MAX_MISSING_REPORTS {
+            self.report = None;
+        }
+    }
+
+    /// Whether the target answers, but does not report its load. Its load is known only
+    /// from the requests of this entry.
+    pub(crate) fn is_unreported(&self) -> bool {
+        self.report.is_none() && self.missing_reports > 0
+    }
+
+    /// Whether probes of a target that does not report its load were not answered.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        self.unanswered_probes > 0
+    }
+
     pub(crate) fn mark_unreachable(&mut self, now: Instant) {
         self.report = None;
+        self.missing_reports = 0;
+        self.answered = None;
         self.health.eject(now);
     }
 
@@ -303,6 +351,11 @@
         self.health.is_on_probation()
     }
 
+    /// Returns the time since the last answer.
+    pub(crate) fn answer_age(&self, now: Instant) -> Option<Duration> {
+        self.answered.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Returns the age of the last report.
     pub(crate) fn report_age(&self, now: Instant) -> Option<Duration> {
         self.report
@@ -313,15 +366,20 @@
     /// entries sent.
     pub(crate) fn occupancy(&self, baseline: Baseline, now: Instant) -> u32 {
         let own = to_u32(self.in_flight.len());
-        let Some(report) = self.report else {
-            return own;
+        let (foreign, since) = match (self.report, self.refused) {
+            (Some(report), _) => {
+                let total = report.load.running.saturating_add(report.load.waiting);
+                let foreign = total.saturating_sub(report.own_in_flight);
+                (foreign, report.received)
+            }
+            // A target refuses requests while it is full.
+            (None, Some(refused)) => (self.slots().saturating_sub(own), refused),
+            (None, None) => return own,
         };
-        let age = now.saturating_duration_since(report.received);
-        let total = report.load.running.saturating_add(report.load.waiting);
-        let foreign = f64::from(total.saturating_sub(report.own_in_flight));
+        let age = now.saturating_duration_since(since);
         // This entry does not see requests of other entries end, so their number
-        // decays with the age of the report.
-        let remaining = foreign * (-age.div_duration_f64(baseline.request_time)).exp();
+        // decays with the age of what is known of them.
+        let remaining = f64::from(foreign) * (-age.div_duration_f64(baseline.request_time)).exp();
         own + round(remaining)
     }
 
@@ -339,6 +397,9 @@
     /// slowdown to the mean over all targets as the report ages, because the
     /// speed is increasingly likely to have changed since.
     pub(crate) fn slowdown(&self, baseline: Baseline, now: Instant) -> f64 {
+        if self.is_unreported() {
+            return UNREPORTED_SLOWDOWN;
+        }
         let mean = baseline.slowdown;
         let Some(report) = self.report else {
             return mean;
@@ -348,6 +409,15 @@
         mean + (report.load.slowdown - mean) * confidence
     }
 
+    /// Returns the slowdown by which the duration of a request is to be divided to get its
+    /// service time at normal speed; `None` if it is not known.
+    pub(crate) fn observed_slowdown(&self) -> Option<f64> {
+        if self.is_unreported() {
+            return Some(UNREPORTED_SLOWDOWN);
+        }
+        self.reported_slowdown()
+    }
+
     /// Returns the slowdown of the last report.
     pub(crate) fn reported_slowdown(&self) -> Option<f64> {
         self.report.map(|report| report.load.slowdown)
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -61,7 +61,7 @@
 /// normal service time: the network latency, and the traffic between zones.
 const REMOTE_COST: f64 = 0.2;
 
-/// Additional cost of a target without a recent report, as a fraction of the
+/// Additional cost of a target without a recent answer, as a fraction of the
 /// normal service time: the entry would have to open a connection. Each entry
 /// therefore keeps using the targets that it knows while these suffice.
 const UNKNOWN_COST: f64 = 0.5;
@@ -75,7 +75,7 @@
 /// later.
 const SETTLING_TIME: Duration = Duration::from_secs(5);
 
-/// Age from which a report no longer indicates an open connection.
+/// Age from which an answer no longer indicates an open connection.
 const CONNECTION_LIFETIME: Duration = Duration::from_secs(8);
 
 /// Criteria by which a target is selected for a request.
@@ -320,10 +320,8 @@
         });
         let last_slot = suitable.map(|(_, candidate)| candidate.endpoint.clone());
         ranked.retain(|(_, candidate)| {
-            let stale = candidate
-                .report_age(now)
-                .is_none_or(|age| age > MAX_FRESH_AGE)
-                || !self.is_health_known(candidate, now);
+            let stale =
+                !Self::is_load_known(candidate, now) || !self.is_health_known(candidate, now);
             stale
                 && !criteria.probed.contains(&candidate.endpoint.id)
                 && !candidate.is_probe_pending(now)
@@ -422,6 +420,20 @@
         self.baseline.slowdown += SLOWDOWN_GAIN * (load.slowdown - self.baseline.slowdown);
     }
 
+    /// Records an answer of a target that does not state its load.
+    pub fn record_missing_report(&mut self, target: &Target, now: Instant) {
+        if let Some(candidate) = self.candidates.get_mut(target) {
+            candidate.record_missing_report(now);
+        }
+    }
+
+    /// Records that a target refused a probe, as it refuses requests while it is full.
+    pub fn record_refused_probe(&mut self, target: &Target, now: Instant) {
+        if let Some(candidate) = self.candidates.get_mut(target) {
+            candidate.record_refusal(now);
+        }
+    }
+
     /// Whether a usable target is known to be fast and to have a free slot, so
     /// that a request could be sent at once.
     #[must_use]
@@ -450,10 +462,11 @@
         }
     }
 
-    /// Returns the slowdown that a target reported last.
+    /// Returns the slowdown that a target reported last; 1 for a target that answers without
+    /// reports.
     #[must_use]
     pub fn slowdown(&self, target: &Target) -> Option<f64> {
-        self.candidates.get(target)?.reported_slowdown()
+        self.candidates.get(target)?.observed_slowdown()
     }
 
     /// Whether a target accepts new requests and its zone is not evacuated.
@@ -472,12 +485,20 @@
         candidate.occupancy(self.baseline, now) < limit
     }
 
-    /// Whether a fresh report shows that a target is fast and has a free slot.
-    fn is_suitable(&self, candidate: &Candidate, now: Instant) -> bool {
-        let fresh = candidate
+    /// Whether what is known of the load of a target can decide: a fresh report, or the
+    /// requests of this entry if the target answers without reports.
+    fn is_load_known(candidate: &Candidate, now: Instant) -> bool {
+        if candidate.is_unreported() {
+            return !candidate.is_unanswered();
+        }
+        candidate
             .report_age(now)
-            .is_some_and(|age| age <= MAX_FRESH_AGE);
-        fresh
+            .is_some_and(|age| age <= MAX_FRESH_AGE)
+    }
+
+    /// Whether a target is known to be fast and to have a free slot.
+    fn is_suitable(&self, candidate: &Candidate, now: Instant) -> bool {
+        Self::is_load_known(candidate, now)
             && self.is_health_known(candidate, now)
             && self.has_slot(candidate, SlotUse::Usable, now)
             && candidate.slowdown(self.baseline, now) <= MAX_FAST_SLOWDOWN
@@ -497,7 +518,9 @@
             && candidate
                 .report_age(now)
                 .is_some_and(|age| age <= MAX_LAST_SLOT_AGE);
-        let may_use_last = criteria.immediate || candidate.slots() == 1 || has_probed;
+        // No probe would tell more of a target that does not report its load.
+        let may_use_last =
+            criteria.immediate || candidate.slots() == 1 || has_probed || candidate.is_unreported();
         self.is_suitable(candidate, now) && (!is_last || may_use_last)
     }
 
@@ -535,7 +558,7 @@
             // Spreads requests over targets of equal cost.
             let jitter: f64 = random.random_range(0.0..0.05);
             let unknown = if candidate
-                .report_age(now)
+                .answer_age(now)
                 .is_none_or(|age| age > CONNECTION_LIFETIME)
             {
                 UNKNOWN_COST
--- a/crates/placement/tests/all/main.rs
+++ b/crates/placement/tests/all/main.rs
@@ -9,5 +9,6 @@
 mod overload;
 mod pool;
 mod queue;
+mod reports;
 mod simulation;
 mod statement;
