Notice silent readers of the store within the time for a change

Cause: the wait of a watch (1.2 s) and the time-out of a silent call (0.8 s) add up to the whole 2 s, and a call was reported as failing only at their end.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -9,7 +9,7 @@
 use carobdrift_peers::{
     Delta, Evacuation, Event, Identity, Peers, Row, Update, Watermark, fetch_state, fetch_targets,
 };
-use carobdrift_platform::Cause;
+use carobdrift_platform::{CallFuture, Cause};
 use carobdrift_routing::{Difference, Mismatch, State};
 use carobdrift_units::{StoreRevision, Version, Zone};
 use tokio::sync::{Mutex, mpsc};
@@ -23,11 +23,12 @@
 use crate::store::{Batch, Item, Subject};
 use crate::task;
 
-/// Time for which the store is asked to wait for a change. The wait bounds the time
-/// until a dead connection is noticed, and until a waiting call shows that the store has
-/// returned from an older copy: it was away for 200 ms at least, and changes must be in
-/// force everywhere 1.25 s after the return.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Share of the time within which a change must be in force for which the store is asked
+/// to wait for one. A reader whose connection died silently notices it after this time, and
+/// the rest is for other entries to take over and to pass the change on. A waiting call
+/// also shows that the store has returned from an older copy, for which half of that time
+/// is allowed.
+const WATCH_SHARE: f64 = 0.4;
 
 /// Delay after a change, so that one call returns changes in quick succession.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(120);
@@ -54,6 +55,9 @@
 /// should start to.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which a reader checks whether its call is overdue.
+const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time after the usual readers begin at a start in which other entries don't take over.
 const START_GRACE: Duration = Duration::from_millis(500);
 
@@ -155,9 +159,9 @@
         let wait = if failing_since.is_some() {
             Duration::ZERO
         } else {
-            WATCH_TIMEOUT
+            shared.settings.max_change_delay.mul_f64(WATCH_SHARE)
         };
-        let Some(result) = call_store(&shared, subject, after, wait).await else {
+        let Some(result) = call_store(&shared, &peers, subject, after, wait).await else {
             after = None;
             continue;
         };
@@ -229,19 +233,42 @@
 /// turns out to be of an older era of the store meanwhile.
 async fn call_store(
     shared: &Shared,
+    peers: &Peers,
     subject: Subject,
     after: Option<StoreRevision>,
     wait: Duration,
 ) -> Option<Result<Batch, Cause>> {
+    let now = Instant::now();
     let Some(after) = after else {
-        return Some(shared.store.read(subject).await);
+        shared
+            .store_status()
+            .begin_call(subject, Duration::ZERO, now);
+        let read = shared.store.read(subject);
+        return Some(announcing_health(shared, peers, read).await);
     };
+    shared.store_status().begin_call(subject, wait, now);
+    let watch = shared.store.watch(subject, after, wait);
     tokio::select! {
-        result = shared.store.watch(subject, after, wait) => Some(result),
+        result = announcing_health(shared, peers, watch) => Some(result),
         () = shared.eras.wait_for_newer(after.era) => None,
     }
 }
 
+/// Waits for the result of a call. Meanwhile announces to the other entries when the
+/// store begins to answer, or the call is overdue.
+async fn announcing_health<T>(
+    shared: &Shared,
+    peers: &Peers,
+    mut call: CallFuture<T>,
+) -> Result<T, Cause> {
+    loop {
+        match tokio::time::timeout(HEALTH_CHECK_INTERVAL, &mut call).await {
+            Ok(result) => return result,
+            Err(_) => announce_health(shared, peers).await,
+        }
+    }
+}
+
 /// Announces how the store answers this entry, if that has changed.
 async fn announce_health(shared: &Shared, peers: &Peers) {
     let health = shared.store_health();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -277,7 +277,8 @@
 
     /// Returns how the store answers this entry.
     pub(crate) fn store_health(&self) -> StoreHealth {
-        self.store_status().health()
+        let received = self.store.last_received();
+        self.store_status().health(received, Instant::now())
     }
 
     /// Returns whether the entry has the data of a subject, from the store or
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -32,6 +32,9 @@
     pub max_ttl: Duration,
     /// Time between the request to stop and the forced end of the process.
     pub grace: Duration,
+    /// Time after its confirmation by the store within which a change of the desired
+    /// state or of the targets must be in force.
+    pub max_change_delay: Duration,
     /// Settings of the gateway, which forwards requests.
     pub gateway: gateway::Settings,
 }
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -7,6 +7,10 @@
 
 use crate::store::Subject;
 
+/// Time beyond the requested wait after which a call without a received byte is overdue.
+/// Usual answers take some milliseconds.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(200);
+
 /// Status of the store as known to this entry.
 #[derive(Debug, Default)]
 pub(crate) struct Status {
@@ -29,6 +33,8 @@
     response: Option<Instant>,
     /// Whether the last call failed.
     is_failing: bool,
+    /// Time from which the call in progress is overdue if no byte arrives.
+    due: Option<Instant>,
 }
 
 impl Status {
@@ -50,14 +56,24 @@
         }
         session.since = is_reading.then_some(now);
         session.is_failing = false;
+        session.due = None;
         true
     }
 
+    /// Records that a call begins, which asks the store to wait for a change for at most
+    /// `wait`.
+    pub(crate) fn begin_call(&mut self, subject: Subject, wait: Duration, now: Instant) {
+        if let Some(session) = self.session(subject) {
+            session.due = Some(now + wait + OVERDUE_MARGIN);
+        }
+    }
+
     /// Records a successful response.
     pub(crate) fn record_response(&mut self, subject: Subject, now: Instant) {
         if let Some(session) = self.session(subject) {
             session.response = Some(now);
             session.is_failing = false;
+            session.due = None;
         }
     }
 
@@ -65,6 +81,7 @@
     pub(crate) fn record_failure(&mut self, subject: Subject) {
         if let Some(session) = self.session(subject) {
             session.is_failing = true;
+            session.due = None;
         }
     }
 
@@ -85,8 +102,9 @@
         age(own_response.max(self.peer_response), now)
     }
 
-    /// Returns how the store answers this entry.
-    pub(crate) fn health(&self) -> StoreHealth {
+    /// Returns how the store answers this entry. `received` is the time at which the last
+    /// byte of the store arrived: a large response may take long.
+    pub(crate) fn health(&self, received: Option<Instant>, now: Instant) -> StoreHealth {
         let sessions = [&self.state, &self.targets];
         let mut sessions = sessions
             .into_iter()
@@ -95,12 +113,14 @@
         if sessions.peek().is_none() {
             return StoreHealth::Idle;
         }
+        let is_receiving = received.is_some_and(|at| at + OVERDUE_MARGIN >= now);
         let mut health = StoreHealth::Answering;
         for (since, session) in sessions {
-            if session.is_failing {
+            let is_overdue = session.due.is_some_and(|due| due <= now) && !is_receiving;
+            if session.is_failing || is_overdue {
                 return StoreHealth::Failing;
             }
-            if session.response < Some(since) {
+            if session.response.max(received) < Some(since) {
                 health = StoreHealth::Idle;
             }
         }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -9,6 +9,7 @@
 use carobdrift_platform::CallFuture;
 use carobdrift_routing::State;
 use carobdrift_units::{Era, StoreRevision, Target};
+use tokio::time::Instant;
 
 /// Platform store as an entry uses it.
 pub trait Store: fmt::Debug + Send + Sync {
@@ -20,6 +21,11 @@
     /// `after` lacks changes.
     fn watch(&self, subject: Subject, after: StoreRevision, wait: Duration) -> CallFuture<Batch>;
 
+    /// Returns the time at which the last byte of the store arrived, if this is known.
+    fn last_received(&self) -> Option<Instant> {
+        None
+    }
+
     /// Registers the address of an entry, so that other entries find it. Returns the era
     /// of the store that has the registration.
     fn register(&self, entry: IpAddr) -> CallFuture<Era>;
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -45,7 +45,7 @@
     Idle,
     /// The entry reads the store, which answers its calls.
     Answering,
-    /// The entry's last call to the store failed.
+    /// The entry's last call to the store failed, or is overdue.
     Failing,
 }
 
