Read on from the known revision when taking over the store

Cause: entries of other zones noticed the loss after 2 s, and an entry that took over read the desired state and all targets whole, 0.6 s on its link, although it had all but the last change.

Change: entries state the store revision up to which they have all changes, and one that takes over continues from there, with a first call that does not wait. A response below that position makes it read everything.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -145,18 +145,23 @@
     let mut failing_since = None;
     loop {
         let position = position(&shared, &peers, Instant::now());
-        is_reading = should_read(&shared, position, is_reading, subject);
+        let was_reading = is_reading;
+        is_reading = should_read(&shared, position, was_reading, subject);
         set_reading(&shared, position, is_reading, subject);
+        let is_taking_over = is_reading && !was_reading;
+        if is_taking_over {
+            after = shared.known_revision(subject);
+        }
         if !is_reading {
-            after = None;
             failing_since = None;
             retry_delay = MIN_RETRY_DELAY;
             announce_health(&shared, &peers).await;
             tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
             continue;
         }
-        // A store that has just returned shows its era only at the end of a wait.
-        let wait = if failing_since.is_some() {
+        // A store that has just returned shows its era only at the end of a wait, and an
+        // entry that takes over shows others that the store answers it.
+        let wait = if failing_since.is_some() || is_taking_over {
             Duration::ZERO
         } else {
             shared.settings.max_change_delay.mul_f64(WATCH_SHARE)
@@ -174,7 +179,7 @@
                 let era = batch.revision.era;
                 shared
                     .store_status()
-                    .record_response(subject, Instant::now());
+                    .record_response(subject, batch.revision, Instant::now());
                 announce_health(&shared, &peers).await;
                 shared.eras.observe(era, "store");
                 let previous = after.replace(batch.revision);
@@ -183,6 +188,13 @@
                     after = None;
                     continue;
                 }
+                if previous > Some(batch.revision) {
+                    // The position that another entry stated is not one of the store.
+                    log::warn!(target: "store", "event=ahead subject={subject:?}");
+                    after = None;
+                    tokio::time::sleep(CHANGE_BATCH_DELAY).await;
+                    continue;
+                }
                 if era < shared.eras.newest() {
                     // Sent before the store returned from an older copy.
                     after = None;
@@ -444,6 +456,7 @@
                         .store_status()
                         .record_peer_age(store_age, Instant::now());
                 }
+                shared.record_known(watermark);
                 begin_catch_up(&shared, &peers, from, watermark);
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -290,6 +290,26 @@
         }
     }
 
+    /// Returns the store revision after which this entry lacks changes of a subject;
+    /// `None` if it must read the whole subject.
+    pub(crate) fn known_revision(&self, subject: Subject) -> Option<StoreRevision> {
+        let known = self.store_status().known();
+        let start = StoreRevision::start_of(self.eras.newest());
+        (self.has_data(subject) && known > start).then_some(known)
+    }
+
+    /// Records that this entry has all changes that another one has, if it has the same
+    /// data.
+    pub(crate) fn record_known(&self, watermark: Watermark) {
+        let has_targets = {
+            let replica = self.replica();
+            replica.is_complete() && replica.revision() >= watermark.targets
+        };
+        if has_targets && self.gateway.version() >= watermark.state {
+            self.store_status().record_known(watermark.known);
+        }
+    }
+
     /// Puts a desired state in force unless the current one is as new. Returns whether
     /// it was put in force. `differences` lead to it from the current one; if they are
     /// not known, the difference is computed.
@@ -335,10 +355,15 @@
     }
 
     fn watermark(&self) -> Watermark {
-        let age = self.store_status().age(Instant::now()).as_millis();
+        let (age, known) = {
+            let status = self.store_status();
+            (status.age(Instant::now()).as_millis(), status.known())
+        };
+        let replica = self.replica();
         Watermark {
             state: self.gateway.version(),
-            targets: self.replica().revision(),
+            targets: replica.revision(),
+            known: replica.without_held(known),
             store_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         }
     }
--- a/crates/node/src/replica.rs
+++ b/crates/node/src/replica.rs
@@ -57,6 +57,14 @@
         self.revision
     }
 
+    /// Returns the revision up to which all of the changes that were received up to
+    /// `received` are applied: held removals are not.
+    #[must_use]
+    pub fn without_held(&self, received: StoreRevision) -> StoreRevision {
+        let held = self.held_removals.values().map(|(revision, _)| *revision);
+        held.fold(received, |applied, held| applied.min(held.previous()))
+    }
+
     /// Returns the registrations of all targets.
     #[must_use]
     pub fn rows(&self) -> Vec<Row> {
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use carobdrift_peers::StoreHealth;
+use carobdrift_units::StoreRevision;
 use tokio::time::Instant;
 
 use crate::store::Subject;
@@ -35,6 +36,8 @@
     is_failing: bool,
     /// Time from which the call in progress is overdue if no byte arrives.
     due: Option<Instant>,
+    /// Store revision up to which this entry has all changes.
+    known: StoreRevision,
 }
 
 impl Status {
@@ -68,12 +71,18 @@
         }
     }
 
-    /// Records a successful response.
-    pub(crate) fn record_response(&mut self, subject: Subject, now: Instant) {
+    /// Records a successful response, up to a revision.
+    pub(crate) fn record_response(
+        &mut self,
+        subject: Subject,
+        revision: StoreRevision,
+        now: Instant,
+    ) {
         if let Some(session) = self.session(subject) {
             session.response = Some(now);
             session.is_failing = false;
             session.due = None;
+            session.known = session.known.max(revision);
         }
     }
 
@@ -90,6 +99,18 @@
         self.peer_response = self.peer_response.max(now.checked_sub(age));
     }
 
+    /// Records that this entry has all changes up to a revision, through another entry.
+    pub(crate) fn record_known(&mut self, revision: StoreRevision) {
+        for session in [&mut self.state, &mut self.targets] {
+            session.known = session.known.max(revision);
+        }
+    }
+
+    /// Returns the store revision up to which this entry has all changes.
+    pub(crate) fn known(&self) -> StoreRevision {
+        self.state.known.min(self.targets.known)
+    }
+
     /// Returns the age of the newest successful response to another entry that this one
     /// knows of.
     pub(crate) fn peer_age(&self, now: Instant) -> Duration {
--- a/crates/peers/src/datagram.rs
+++ b/crates/peers/src/datagram.rs
@@ -92,6 +92,9 @@
     pub state: Version,
     /// Store revision up to which the entry has all target registrations.
     pub targets: StoreRevision,
+    /// Store revision up to which the entry has all changes: of the desired state, the
+    /// targets and the evacuations. It also grows while nothing changes.
+    pub known: StoreRevision,
     /// Age of the newest successful store response that the entry knows of, at
     /// itself or at another entry, in milliseconds; `u32::MAX` if it knows of none.
     pub store_age_ms: u32,
--- a/crates/peers/tests/all/fixture.rs
+++ b/crates/peers/tests/all/fixture.rs
@@ -227,6 +227,7 @@
     Watermark {
         state: Version(state.version.load(Ordering::SeqCst)),
         targets: revision(state),
+        known: StoreRevision::default(),
         store_age_ms: 0,
     }
 }
--- a/crates/units/src/revision.rs
+++ b/crates/units/src/revision.rs
@@ -38,6 +38,16 @@
         Self { era, version: 0 }
     }
 
+    /// Returns the position before this one in the same era, or this one if it is the
+    /// first.
+    #[must_use]
+    pub fn previous(self) -> Self {
+        Self {
+            version: self.version.saturating_sub(1),
+            ..self
+        }
+    }
+
     /// Returns the next position in the same era.
     #[must_use]
     pub fn next(self) -> Self {
