Tests: heads that break off

An operator of a similar system reported that a target which closed in the middle of a head reached clients as a 200 with an empty or short body. With a reader that completes a head at the end of the connection the test of http1 fails.

--- a/crates/http1/tests/all/responses.rs
+++ b/crates/http1/tests/all/responses.rs
@@ -97,6 +97,54 @@
     assert!(accepted.is_empty(), "{accepted:#?}");
 }
 
+/// Guards against a head that breaks off and counts as that of a response whose body ends
+/// with the connection or is empty: the connection ends after each byte of the head, in
+/// order or by a reset, on its own or after the response to an earlier exchange.
+#[tokio::test]
+async fn heads_that_break_off_are_refused() {
+    const EARLIER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    const HEADS: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\nx: y\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nx: y\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 103 Hints\r\nx: y\r\n\r\nHTTP/1.1 204 None\r\n\r\n",
+    ];
+    let mut cases = Vec::new();
+    for head in HEADS {
+        for length in 0..head.len() {
+            for method in [Method::GET, Method::HEAD] {
+                for (earlier, resets) in [(false, false), (false, true), (true, false)] {
+                    let start: &[u8] = if earlier { EARLIER } else { b"" };
+                    let raw = [start, &head[..length]].concat();
+                    cases.push((raw, method.clone(), earlier, resets));
+                }
+            }
+        }
+    }
+
+    let results = cases.into_iter().map(|(raw, method, earlier, resets)| {
+        tokio::spawn(async move {
+            let ending = if resets { Ending::Reset } else { Ending::Close };
+            let raw: &'static [u8] = raw.leak();
+            let (mut response, mut connection) = exchange(&method, raw, ending).await;
+            if earlier && method == Method::GET {
+                response = connection.skip_response(&method, usize::MAX, &mut 0).await;
+            } else if earlier {
+                // The body of the earlier response is no head.
+                response = connection.exchange(&method, b"", &mut 0).await;
+            }
+            let text = String::from_utf8_lossy(raw);
+            response
+                .ok()
+                .map(|accepted| format!("{text:?} as {accepted:?}"))
+        })
+    });
+    let accepted: Vec<_> = futures_util::future::join_all(results).await;
+
+    let accepted: Vec<_> = accepted.into_iter().filter_map(Result::unwrap).collect();
+    assert!(accepted.is_empty(), "{accepted:#?}");
+}
+
 /// Guards against a byte that the parser accepts within the name of a field although
 /// it is not permitted there, at each place of names of different lengths.
 #[tokio::test]
--- a/crates/proxy/tests/all/invalid.rs
+++ b/crates/proxy/tests/all/invalid.rs
@@ -139,6 +139,27 @@
     assert!(passed_on.is_empty(), "{passed_on:#?}");
 }
 
+/// Guards against a head that breaks off and reaches the caller as a response with an
+/// empty or short body, whether its target closes the connection or resets it.
+#[tokio::test]
+async fn heads_that_break_off_get_502() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 12\r\nx: y\r\n\r\n";
+    let mut passed_on = Vec::new();
+    for length in [1, 15, 17, 36, 37, HEAD.len() - 2, HEAD.len() - 1] {
+        for ending in [Ending::Close, Ending::Reset] {
+            let parts: &'static [&'static [u8]] = vec![&HEAD[..length]].leak();
+            let entry = entry(&[raw_target(parts, ending).await]).await;
+
+            let response = entry.send(post("head")).await;
+
+            if !matches!(&response, Ok(response) if response.status == 502) {
+                passed_on.push(format!("{length}, {ending:?}: {:?}", summary(&response)));
+            }
+        }
+    }
+    assert!(passed_on.is_empty(), "{passed_on:#?}");
+}
+
 /// Guards against a response whose head was passed on and that is ended as complete
 /// although the rest of its body is not valid.
 #[tokio::test]
