Record a position of the store only after its changes are applied

Found while reading the change: the store revision that entries state as Watermark.known was recorded when the response of the store arrived, and could be announced before its changes were applied. Had the reader been lost in between, another entry would have taken over after the changes that only the lost one had, and no entry would have had them until the next whole read.

Change: the revision is recorded after apply_batch. There is no test for this: the window is within one task and can't be held open from outside.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -179,7 +179,7 @@
                 let era = batch.revision.era;
                 shared
                     .store_status()
-                    .record_response(subject, batch.revision, Instant::now());
+                    .record_response(subject, Instant::now());
                 announce_health(&shared, &peers).await;
                 shared.eras.observe(era, "store");
                 let previous = after.replace(batch.revision);
@@ -202,7 +202,10 @@
                     continue;
                 }
                 let is_full = previous.is_none();
+                let revision = batch.revision;
                 let changed = apply_batch(&shared, &peers, subject, batch, is_full).await;
+                // Not before: another entry that takes over continues after it.
+                shared.store_status().record_applied(subject, revision);
                 if is_full {
                     // After a loss of all entries many read, and few go on.
                     tokio::time::sleep_until(shared.start.ranked_at()).await;
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -71,17 +71,18 @@
         }
     }
 
-    /// Records a successful response, up to a revision.
-    pub(crate) fn record_response(
-        &mut self,
-        subject: Subject,
-        revision: StoreRevision,
-        now: Instant,
-    ) {
+    /// Records a successful response.
+    pub(crate) fn record_response(&mut self, subject: Subject, now: Instant) {
         if let Some(session) = self.session(subject) {
             session.response = Some(now);
             session.is_failing = false;
             session.due = None;
+        }
+    }
+
+    /// Records that all changes of a subject up to a revision are applied.
+    pub(crate) fn record_applied(&mut self, subject: Subject, revision: StoreRevision) {
+        if let Some(session) = self.session(subject) {
             session.known = session.known.max(revision);
         }
     }
