--- a/review/rig-3/entry.rs
+++ b/review/rig-3/entry.rs
@@ -146,19 +146,6 @@
         (state.peak, state.kills.len(), state.ends)
     }
 
-    /// Returns the current memory in bytes.
-    #[expect(dead_code)]
-    pub fn memory(&self) -> u64 {
-        let state = self.shared.state.lock().unwrap();
-        state.child.as_ref().map_or(0, |child| resident(child.id()))
-    }
-
-    /// Returns the process id.
-    pub fn pid(&self) -> Option<u32> {
-        let state = self.shared.state.lock().unwrap();
-        state.child.as_ref().map(Child::id)
-    }
-
     /// Ends the process.
     pub fn stop(&self) {
         let mut state = self.shared.state.lock().unwrap();
--- a/review/rig-3/http.rs
+++ b/review/rig-3/http.rs
@@ -25,11 +25,6 @@
         field.map(|(_, value)| value.as_str())
     }
 
-    /// Returns the method of a request.
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or_default()
-    }
-
     /// Returns the target of a request.
     pub fn target(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or_default()
