Review: show that a return of the store from an older copy reverts draining

A registration of a newer era replaces the known one, although that one says that the same process drains.

--- a/review/rig-3/store.rs
+++ b/review/rig-3/store.rs
@@ -1,4 +1,5 @@
-//! Stand-in of the platform's store: reads, feeds and transactions of rows.
+//! Stand-in of the platform's store: reads, feeds and transactions of rows, and the
+//! drill in which it returns from an older copy.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -15,6 +16,16 @@
 struct State {
     version: u64,
     rows: BTreeMap<(String, String), Row>,
+    /// Number of returns from an older copy.
+    era: u64,
+    /// Whether the store is away: it closes each connection without an answer.
+    is_away: bool,
+}
+
+/// Older copy of the store.
+pub struct Copy {
+    version: u64,
+    rows: BTreeMap<(String, String), Row>,
 }
 
 /// Running store.
@@ -46,6 +57,35 @@
         self.write(table, key, base64(value.as_bytes()), false);
     }
 
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, String::new(), true);
+    }
+
+    /// Copies the store.
+    pub fn copy(&self) -> Copy {
+        let state = self.shared.0.lock().unwrap();
+        Copy {
+            version: state.version,
+            rows: state.rows.clone(),
+        }
+    }
+
+    /// Takes the store away.
+    pub fn leave(&self) {
+        self.shared.0.lock().unwrap().is_away = true;
+        self.shared.1.notify_all();
+    }
+
+    /// Lets the store return from a copy.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.version = copy.version;
+        state.rows = copy.rows;
+        state.era += 1;
+        state.is_away = false;
+    }
+
     fn write(&self, table: &str, key: &str, value: String, removed: bool) -> u64 {
         let mut state = self.shared.0.lock().unwrap();
         state.version += 1;
@@ -61,14 +101,17 @@
         while let Ok(Some(request)) = connection.read() {
             // The pages state 4 ms for an answer.
             thread::sleep(Duration::from_millis(4));
-            let answer = self.answer(&request);
+            let Some(answer) = self.answer(&request) else {
+                return;
+            };
             if connection.write(&answer).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, request: &Message) -> Vec<u8> {
+    /// Answers a call; `None` if the store is away.
+    fn answer(&self, request: &Message) -> Option<Vec<u8>> {
         let (path, query) = request
             .target()
             .split_once('?')
@@ -78,32 +121,45 @@
             let found = pairs.find(|(other, _)| *other == name);
             found.map_or("", |(_, value)| value)
         };
-        let json = |body: String| {
-            let kind = ("Content-Type", "application/json".to_owned());
-            response(200, &[kind], body.as_bytes())
-        };
-        match path {
-            "/api/rows-get" => json(self.read(parameter("table"))),
+        let (status, body) = match path {
+            "/api/rows-get" => (200, self.read(parameter("table"))),
             "/api/rows-feed" => {
                 let after = parameter("after").parse().unwrap_or_default();
                 let wait = parameter("waitMs").parse().unwrap_or_default();
-                json(self.feed(parameter("table"), after, Duration::from_millis(wait)))
+                let wait = Duration::from_millis(wait);
+                match self.feed(parameter("table"), after, wait) {
+                    Some(rows) => (200, rows),
+                    None => (410, "{}".to_owned()),
+                }
             }
-            "/api/rows-tx" => {
-                let body = String::from_utf8_lossy(&request.body);
-                let text = |name: &str| {
-                    let start = body.find(&format!("\"{name}\":\""))? + name.len() + 4;
-                    let length = body[start..].find('"')?;
-                    Some(body[start..start + length].to_owned())
-                };
-                let version = match (text("table"), text("key"), text("value")) {
-                    (Some(table), Some(key), Some(value)) => self.write(&table, &key, value, false),
-                    _ => self.shared.0.lock().unwrap().version,
-                };
-                json(format!("{{\"ver\":{version},\"now\":0}}"))
-            }
-            _ => response(404, &[], b""),
+            "/api/rows-tx" => (200, self.transact(&String::from_utf8_lossy(&request.body))),
+            _ => (404, "{}".to_owned()),
+        };
+        let state = self.shared.0.lock().unwrap();
+        if state.is_away {
+            return None;
         }
+        let fields = [
+            ("Content-Type", "application/json".to_owned()),
+            ("Store-Era", state.era.to_string()),
+        ];
+        Some(response(status, &fields, body.as_bytes()))
+    }
+
+    fn transact(&self, body: &str) -> String {
+        let text = |name: &str| {
+            let start = body.find(&format!("\"{name}\":\""))? + name.len() + 4;
+            let length = body[start..].find('"')?;
+            Some(body[start..start + length].to_owned())
+        };
+        if self.shared.0.lock().unwrap().is_away {
+            return String::new();
+        }
+        let version = match (text("table"), text("key"), text("value")) {
+            (Some(table), Some(key), Some(value)) => self.write(&table, &key, value, false),
+            _ => self.shared.0.lock().unwrap().version,
+        };
+        format!("{{\"ver\":{version},\"now\":0}}")
     }
 
     fn read(&self, table: &str) -> String {
@@ -111,14 +167,21 @@
         rows(&state, table, 0, false)
     }
 
-    fn feed(&self, table: &str, after: u64, wait: Duration) -> String {
+    /// Returns the changes after a version once there are any; `None` if the store does
+    /// not have that version.
+    fn feed(&self, table: &str, after: u64, wait: Duration) -> Option<String> {
         let end = Instant::now() + wait;
         let mut state = self.shared.0.lock().unwrap();
+        let era = state.era;
         loop {
+            if after > state.version || state.era != era {
+                return None;
+            }
             let mut rows_of_table = state.rows.iter().filter(|((t, _), _)| t == table);
+            let has_changes = rows_of_table.any(|(_, row)| row.1 > after);
             let left = end.saturating_duration_since(Instant::now());
-            if rows_of_table.any(|(_, row)| row.1 > after) || left.is_zero() {
-                return rows(&state, table, after, true);
+            if has_changes || left.is_zero() || state.is_away {
+                return Some(rows(&state, table, after, true));
             }
             state = self.shared.1.wait_timeout(state, left).unwrap().0;
         }
--- a/review/rig-3/target.rs
+++ b/review/rig-3/target.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Message, response};
 use crate::store::Store;
@@ -26,12 +26,16 @@
 
 struct Shared {
     slots: usize,
+    service: String,
     work: Work,
+    leaving: AtomicBool,
     running: Mutex<usize>,
     freed: Condvar,
     waiting: AtomicUsize,
     /// Number of runs by attempt id.
     runs: Mutex<HashMap<String, u32>>,
+    /// Arrivals of requests, without status checks and those that get 421.
+    arrivals: Mutex<Vec<(String, Instant)>>,
 }
 
 impl Target {
@@ -49,11 +53,14 @@
             address: listener.local_addr()?,
             shared: Arc::new(Shared {
                 slots,
+                service: service.to_owned(),
                 work,
+                leaving: AtomicBool::new(false),
                 running: Mutex::new(0),
                 freed: Condvar::new(),
                 waiting: AtomicUsize::new(0),
                 runs: Mutex::default(),
+                arrivals: Mutex::default(),
             }),
         };
         let served = target.clone();
@@ -64,14 +71,35 @@
                 let _ = thread.spawn(move || target.serve(stream));
             }
         });
+        target.register(store);
+        Ok(target)
+    }
+
+    /// Writes the registration.
+    pub fn register(&self, store: &Store) {
+        let state = if self.shared.leaving.load(Ordering::Acquire) {
+            "draining"
+        } else {
+            "ready"
+        };
         let registration = format!(
-            "{{\"address\":\"{}\",\"born\":1765000000000,\"info\":{{\"service\":\"{service}\",\
-             \"version\":\"v1\",\"zone\":\"z1\",\"slots\":{slots}}},\"status\":{{\"state\":\"ready\",\
+            "{{\"address\":\"{}\",\"born\":1765000000000,\"info\":{{\"service\":\"{}\",\
+             \"version\":\"v1\",\"zone\":\"z1\",\"slots\":{}}},\"status\":{{\"state\":\"{state}\",\
              \"sequence\":1,\"warmupLeft\":\"0ms\"}}}}",
-            target.address
+            self.address, self.shared.service, self.shared.slots
         );
-        store.put("servers", id, &registration);
-        Ok(target)
+        store.put("servers", &self.id, &registration);
+    }
+
+    /// Begins to leave: all answers say so, and so does the registration.
+    pub fn leave(&self, store: &Store) {
+        self.shared.leaving.store(true, Ordering::Release);
+        self.register(store);
+    }
+
+    /// Returns the attempt ids and times of the requests that arrived.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.shared.arrivals.lock().unwrap().clone()
     }
 
     /// Returns how often a request ran.
@@ -97,10 +125,15 @@
     }
 
     fn answer(&self, request: &Message) -> Vec<u8> {
-        let load = |target: &Self| ("X-Carobdrift-Server-Load", target.load());
+        let load = ("X-Carobdrift-Server-Load", self.load());
+        let leaving = self.shared.leaving.load(Ordering::Acquire);
         if request.target() == "/health" {
             let id = ("X-Carobdrift-Instance-Id", self.id.clone());
-            return response(200, &[id, load(self)], b"");
+            let mut fields = vec![id, load];
+            if leaving {
+                fields.push(("Server-Leaving", "1".to_owned()));
+            }
+            return response(if leaving { 503 } else { 200 }, &fields, b"");
         }
         let attempt = request.field("x-carobdrift-attempt-id").unwrap_or_default();
         let echo = ("X-Carobdrift-Attempt-Id", attempt.to_owned());
@@ -110,6 +143,8 @@
         {
             return response(421, &[echo], b"");
         }
+        let arrival = (attempt.to_owned(), Instant::now());
+        self.shared.arrivals.lock().unwrap().push(arrival);
         self.shared.waiting.fetch_add(1, Ordering::Relaxed);
         {
             let mut running = self.shared.running.lock().unwrap();
@@ -134,6 +169,11 @@
             "X-Carobdrift-Server-Signature",
             format!("{}.{attempt}", self.id),
         );
-        response(200, &[echo, proof, load(self)], &vec![b'x'; size])
+        let load = ("X-Carobdrift-Server-Load", self.load());
+        let mut fields = vec![echo, proof, load];
+        if self.shared.leaving.load(Ordering::Acquire) {
+            fields.push(("Server-Leaving", "1".to_owned()));
+        }
+        response(200, &fields, &vec![b'x'; size])
     }
 }
