--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -2,7 +2,6 @@
 //! platform's supervisor, all on loopback addresses. Standard library only.
 
 mod caller;
-mod drill;
 mod entry;
 mod http;
 mod pipelined;
@@ -25,7 +24,6 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let directory = PathBuf::from(directory);
     let result = match case.as_str() {
-        "drill" => drill::run(&directory, trouble),
         "pipelined" => pipelined::run(&directory, trouble),
         _ => Err(format!("unknown case {case}")),
     };
--- a/review/rig-3/store.rs
+++ b/review/rig-3/store.rs
@@ -1,5 +1,4 @@
-//! Stand-in of the platform's store: reads, feeds and transactions of rows, and the
-//! drill in which it returns from an older copy.
+//! Stand-in of the platform's store: reads, feeds and transactions of rows.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -16,16 +15,6 @@
 struct State {
     version: u64,
     rows: BTreeMap<(String, String), Row>,
-    /// Number of returns from an older copy.
-    era: u64,
-    /// Whether the store is away: it closes each connection without an answer.
-    is_away: bool,
-}
-
-/// Older copy of the store.
-pub struct Copy {
-    version: u64,
-    rows: BTreeMap<(String, String), Row>,
 }
 
 /// Running store.
@@ -57,35 +46,6 @@
         self.write(table, key, base64(value.as_bytes()), false);
     }
 
-    /// Removes a row.
-    pub fn remove(&self, table: &str, key: &str) {
-        self.write(table, key, String::new(), true);
-    }
-
-    /// Copies the store.
-    pub fn copy(&self) -> Copy {
-        let state = self.shared.0.lock().unwrap();
-        Copy {
-            version: state.version,
-            rows: state.rows.clone(),
-        }
-    }
-
-    /// Takes the store away.
-    pub fn leave(&self) {
-        self.shared.0.lock().unwrap().is_away = true;
-        self.shared.1.notify_all();
-    }
-
-    /// Lets the store return from a copy.
-    pub fn restore(&self, copy: Copy) {
-        let mut state = self.shared.0.lock().unwrap();
-        state.version = copy.version;
-        state.rows = copy.rows;
-        state.era += 1;
-        state.is_away = false;
-    }
-
     fn write(&self, table: &str, key: &str, value: String, removed: bool) -> u64 {
         let mut state = self.shared.0.lock().unwrap();
         state.version += 1;
@@ -101,17 +61,14 @@
         while let Ok(Some(request)) = connection.read() {
             // The pages state 4 ms for an answer.
             thread::sleep(Duration::from_millis(4));
-            let Some(answer) = self.answer(&request) else {
-                return;
-            };
+            let answer = self.answer(&request);
             if connection.write(&answer).is_err() {
                 return;
             }
         }
     }
 
-    /// Answers a call; `None` if the store is away.
-    fn answer(&self, request: &Message) -> Option<Vec<u8>> {
+    fn answer(&self, request: &Message) -> Vec<u8> {
         let (path, query) = request
             .target()
             .split_once('?')
@@ -135,15 +92,8 @@
             "/api/rows-tx" => (200, self.transact(&String::from_utf8_lossy(&request.body))),
             _ => (404, "{}".to_owned()),
         };
-        let state = self.shared.0.lock().unwrap();
-        if state.is_away {
-            return None;
-        }
-        let fields = [
-            ("Content-Type", "application/json".to_owned()),
-            ("Store-Era", state.era.to_string()),
-        ];
-        Some(response(status, &fields, body.as_bytes()))
+        let kind = ("Content-Type", "application/json".to_owned());
+        response(status, &[kind], body.as_bytes())
     }
 
     fn transact(&self, body: &str) -> String {
@@ -152,9 +102,6 @@
             let length = body[start..].find('"')?;
             Some(body[start..start + length].to_owned())
         };
-        if self.shared.0.lock().unwrap().is_away {
-            return String::new();
-        }
         let version = match (text("table"), text("key"), text("value")) {
             (Some(table), Some(key), Some(value)) => self.write(&table, &key, value, false),
             _ => self.shared.0.lock().unwrap().version,
@@ -172,15 +119,14 @@
     fn feed(&self, table: &str, after: u64, wait: Duration) -> Option<String> {
         let end = Instant::now() + wait;
         let mut state = self.shared.0.lock().unwrap();
-        let era = state.era;
         loop {
-            if after > state.version || state.era != era {
+            if after > state.version {
                 return None;
             }
             let mut rows_of_table = state.rows.iter().filter(|((t, _), _)| t == table);
             let has_changes = rows_of_table.any(|(_, row)| row.1 > after);
             let left = end.saturating_duration_since(Instant::now());
-            if has_changes || left.is_zero() || state.is_away {
+            if has_changes || left.is_zero() {
                 return Some(rows(&state, table, after, true));
             }
             state = self.shared.1.wait_timeout(state, left).unwrap().0;
--- a/review/rig-3/target.rs
+++ b/review/rig-3/target.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::http::{Connection, Message, response};
 use crate::store::Store;
@@ -28,14 +28,11 @@
     slots: usize,
     service: String,
     work: Work,
-    leaving: AtomicBool,
     running: Mutex<usize>,
     freed: Condvar,
     waiting: AtomicUsize,
     /// Number of runs by attempt id.
     runs: Mutex<HashMap<String, u32>>,
-    /// Arrivals of requests, without status checks and those that get 421.
-    arrivals: Mutex<Vec<(String, Instant)>>,
 }
 
 impl Target {
@@ -55,12 +52,10 @@
                 slots,
                 service: service.to_owned(),
                 work,
-                leaving: AtomicBool::new(false),
                 running: Mutex::new(0),
                 freed: Condvar::new(),
                 waiting: AtomicUsize::new(0),
                 runs: Mutex::default(),
-                arrivals: Mutex::default(),
             }),
         };
         let served = target.clone();
@@ -76,32 +71,16 @@
     }
 
     /// Writes the registration.
-    pub fn register(&self, store: &Store) {
-        let state = if self.shared.leaving.load(Ordering::Acquire) {
-            "draining"
-        } else {
-            "ready"
-        };
+    fn register(&self, store: &Store) {
         let registration = format!(
             "{{\"address\":\"{}\",\"born\":1765000000000,\"info\":{{\"service\":\"{}\",\
-             \"version\":\"v1\",\"zone\":\"z1\",\"slots\":{}}},\"status\":{{\"state\":\"{state}\",\
+             \"version\":\"v1\",\"zone\":\"z1\",\"slots\":{}}},\"status\":{{\"state\":\"ready\",\
              \"sequence\":1,\"warmupLeft\":\"0ms\"}}}}",
             self.address, self.shared.service, self.shared.slots
         );
         store.put("servers", &self.id, &registration);
     }
 
-    /// Begins to leave: all answers say so, and so does the registration.
-    pub fn leave(&self, store: &Store) {
-        self.shared.leaving.store(true, Ordering::Release);
-        self.register(store);
-    }
-
-    /// Returns the attempt ids and times of the requests that arrived.
-    pub fn arrivals(&self) -> Vec<(String, Instant)> {
-        self.shared.arrivals.lock().unwrap().clone()
-    }
-
     /// Returns how often a request ran.
     pub fn runs(&self, attempt: &str) -> u32 {
         let runs = self.shared.runs.lock().unwrap();
@@ -126,14 +105,9 @@
 
     fn answer(&self, request: &Message) -> Vec<u8> {
         let load = ("X-Carobdrift-Server-Load", self.load());
-        let leaving = self.shared.leaving.load(Ordering::Acquire);
         if request.target() == "/health" {
             let id = ("X-Carobdrift-Instance-Id", self.id.clone());
-            let mut fields = vec![id, load];
-            if leaving {
-                fields.push(("Server-Leaving", "1".to_owned()));
-            }
-            return response(if leaving { 503 } else { 200 }, &fields, b"");
+            return response(200, &[id, load], b"");
         }
         let attempt = request.field("x-carobdrift-attempt-id").unwrap_or_default();
         let echo = ("X-Carobdrift-Attempt-Id", attempt.to_owned());
@@ -143,8 +117,6 @@
         {
             return response(421, &[echo], b"");
         }
-        let arrival = (attempt.to_owned(), Instant::now());
-        self.shared.arrivals.lock().unwrap().push(arrival);
         self.shared.waiting.fetch_add(1, Ordering::Relaxed);
         {
             let mut running = self.shared.running.lock().unwrap();
@@ -170,10 +142,6 @@
             format!("{}.{attempt}", self.id),
         );
         let load = ("X-Carobdrift-Server-Load", self.load());
-        let mut fields = vec![echo, proof, load];
-        if self.shared.leaving.load(Ordering::Acquire) {
-            fields.push(("Server-Leaving", "1".to_owned()));
-        }
-        response(200, &fields, &vec![b'x'; size])
+        response(200, &[echo, proof, load], &vec![b'x'; size])
     }
 }
